--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -18,6 +18,7 @@
             "check and show settings files",
             "yuccafold.cli._settings",
         ),
+        Command("bench", "measure on this machine", "yuccafold.cli._bench"),
     )
 }
 
