Carry a call from its caller to a target and back

Cause: nothing served a request yet. Change: the router daemon: h11 on both sides, account and service by the settings tree, rendezvous placement under a local load bound, verdicts decided where bytes meet the socket, a held-back body for non-idempotent calls, streams that never end cleanly when cut, keys remembered in one VM, drain, operators' port, logs and telemetry. Conclusion: the thin path works for one VM; the fleet's decisions replace the local ones next.

--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -13,6 +13,7 @@
 COMMANDS = {
     command.name: command
     for command in (
+        Command("router", "the daemon", "yuccafold.cli._router"),
         Command(
             "settings",
             "check and show settings files",
--- /dev/null
+++ b/src/yuccafold/router/_chat.py
@@ -0,0 +1,97 @@
+"""Reads a chat turn: its identity, its size and how it is answered."""
+
+from __future__ import annotations
+
+import json
+from typing import Annotated
+from typing import Any
+
+import xxhash
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+from result import Err
+from result import Ok
+from result import Result
+
+from yuccafold._ids import AccountId
+from yuccafold._ids import ChatId
+from yuccafold._ids import TargetId
+from yuccafold._verdict import Refusal
+from yuccafold.router._call import ChatTurn
+from yuccafold.router._errors import bad_request
+from yuccafold.router._http import Headers
+from yuccafold.router._http import first_value
+
+BYTES_PER_TOKEN = 4
+"""The usual ratio for natural-language text, used where no count is known."""
+
+DEFAULT_ANSWER_TOKENS = 256
+USER_ROLE = "user"
+
+
+class _Message(BaseModel):
+    """One message of a chat; further keys are the engine's business."""
+
+    model_config = ConfigDict(extra="allow")
+
+    role: Annotated[str, Field(min_length=1)]
+    content: Any = None
+
+
+class _ChatRequest(BaseModel):
+    """The parts of a chat-completions request that the router reads."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str = ""
+    messages: Annotated[list[_Message], Field(min_length=1)]
+    stream: bool = False
+    max_tokens: Annotated[int, Field(ge=1)] | None = None
+
+
+def read_turn(
+    account: AccountId, headers: Headers, body: bytes
+) -> Result[ChatTurn, Refusal]:
+    """Return the chat turn that ``body`` holds, or why it is not one."""
+    try:
+        request = _ChatRequest.model_validate_json(body)
+    except ValidationError as error:
+        return Err(bad_request(_describe(error), 400, "bad_chat_request"))
+    hint = first_value(headers, b"yuccafold-hint")
+    return Ok(
+        ChatTurn(
+            chat=_identity(account, headers, request),
+            prompt_tokens=max(1, len(body) // BYTES_PER_TOKEN),
+            answer_tokens=request.max_tokens or DEFAULT_ANSWER_TOKENS,
+            stream=request.stream,
+            hint=None if hint is None else TargetId(hint),
+        )
+    )
+
+
+def _describe(error: ValidationError) -> str:
+    faults = (
+        f"{'.'.join(map(str, fault['loc'])) or 'body'}: {fault['msg']}"
+        for fault in error.errors(include_input=False, include_url=False)[:5]
+    )
+    return f"expected a chat-completions request; {'; '.join(faults)}"
+
+
+def _identity(account: AccountId, headers: Headers, request: _ChatRequest) -> ChatId:
+    """Return the identity that all turns of one chat share.
+
+    A caller may name the chat. Otherwise the messages up to the first one of
+    the user name it, as later turns repeat them.
+    """
+    named = first_value(headers, b"yuccafold-chat")
+    if named is not None:
+        return ChatId(xxhash.xxh3_64_hexdigest(f"{account}\n{named}".encode()))
+    opening: list[Any] = []
+    for message in request.messages:
+        opening.append([message.role, message.content])
+        if message.role == USER_ROLE:
+            break
+    text = json.dumps([account, request.model, opening], sort_keys=True)
+    return ChatId(xxhash.xxh3_64_hexdigest(text.encode()))
--- /dev/null
+++ b/src/yuccafold/router/_forward.py
@@ -0,0 +1,303 @@
+"""Forwards one call: claim, placement, attempts, answer."""
+
+from __future__ import annotations
+
+import random
+from typing import final
+
+import h11
+import trio
+from opentelemetry.context import Context
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+from result import Err
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
+from yuccafold._ids import TargetId
+from yuccafold._verdict import Refusal
+from yuccafold._verdict import Verdict
+from yuccafold.router._body import RequestBody
+from yuccafold.router._call import Call
+from yuccafold.router._errors import HINT_HEADER
+from yuccafold.router._errors import VERDICT_HEADER
+from yuccafold.router._errors import CallRefused
+from yuccafold.router._http import Headers
+from yuccafold.router._http import end_to_end
+from yuccafold.router._http import first_value
+from yuccafold.router._interfaces import Admission
+from yuccafold.router._interfaces import OnceGate
+from yuccafold.router._interfaces import Placement
+from yuccafold.router._interfaces import RequestGuard
+from yuccafold.router._interfaces import StoredAnswer
+from yuccafold.router._relay import AnswerRelay
+from yuccafold.router._responder import Responder
+from yuccafold.router._retries import Retries
+from yuccafold.router._upstream import AttemptFailed
+from yuccafold.router._upstream import EarlyAnswer
+from yuccafold.router._upstream import Exchange
+from yuccafold.router._upstream import FailureKind
+from yuccafold.router._upstream import TargetPool
+from yuccafold.router._upstream import exchange
+from yuccafold.router._upstream import forwarded_headers
+from yuccafold.telemetry import Telemetry
+from yuccafold.telemetry import log_event
+
+PROPAGATOR = TraceContextTextMapPropagator()
+SERVER_ERROR_STATUSES = frozenset({502, 503, 504})
+
+
+@final
+class Forwarder:
+    """Carries calls to targets under the fleet's decisions."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        pool: TargetPool,
+        admission: Admission,
+        once: OnceGate,
+        guard: RequestGuard,
+        telemetry: Telemetry,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._pool = pool
+        self._admission = admission
+        self._once = once
+        self._guard = guard
+        self._telemetry = telemetry
+        self._retries = Retries(rng)
+
+    async def forward(
+        self, call: Call, body: RequestBody, responder: Responder
+    ) -> None:
+        """Answer ``call``; a refusal is raised as ``CallRefused``."""
+        lethal = await self._guard.check(call)
+        if lethal is not None:
+            raise CallRefused(lethal)
+        if call.key is None:
+            await self._attempts(call, body, responder)
+            return
+        claimed = await self._once.claim(call)
+        if isinstance(claimed, Err):
+            raise CallRefused(claimed.err_value)
+        if claimed.ok_value is not None:
+            await _replay(claimed.ok_value, responder)
+            return
+        # The answer is kept for repeats even when this caller is gone.
+        with trio.CancelScope(shield=True):
+            await self._run_claimed(call, body, responder)
+
+    async def _run_claimed(
+        self, call: Call, body: RequestBody, responder: Responder
+    ) -> None:
+        relay: AnswerRelay | None = None
+        verdict = Verdict.MAY_HAVE_RUN
+        try:
+            relay = await self._attempts(call, body, responder)
+            verdict = Verdict.COMPLETE
+        except CallRefused as refused:
+            verdict = refused.refusal.verdict
+            raise
+        finally:
+            self._once.finish(call, verdict, None if relay is None else relay.stored)
+
+    async def _attempts(
+        self, call: Call, body: RequestBody, responder: Responder
+    ) -> AnswerRelay:
+        """Try targets until one answered whole or the policy says to stop."""
+        relay = AnswerRelay(call, responder)
+        excluded: frozenset[TargetId] = frozenset()
+        self._retries.count_request()
+        for attempt in range(1, call.policy.max_attempts + 1):
+            admitted = await self._admission.admit(call, excluded)
+            if isinstance(admitted, Err):
+                raise CallRefused(admitted.err_value)
+            placement = admitted.ok_value
+            try:
+                await self._attempt(call, placement, body, relay)
+                self._guard.finish(call, answered=True)
+                return relay
+            except AttemptFailed as failed:
+                self._log_failure(call, placement, attempt, failed)
+                target = TargetId(placement.target.id)
+                refusal = await self._after_failure(call, target, failed, body, relay)
+                if refusal is not None or attempt == call.policy.max_attempts:
+                    self._guard.finish(call, answered=False)
+                    await self._give_up(call, refusal or _failed(failed), relay)
+                excluded |= {target}
+            finally:
+                self._admission.finish(call, placement)
+            await trio.sleep(self._retries.backoff_ms(call, attempt) / MS_PER_SECOND)
+        raise AssertionError("expected the last attempt to answer or to give up")
+
+    async def _attempt(
+        self, call: Call, placement: Placement, body: RequestBody, relay: AnswerRelay
+    ) -> None:
+        """Run one attempt with a span of its own."""
+        with self._telemetry.tracer.start_as_current_span(
+            "target", record_exception=False
+        ) as span:
+            span.set_attribute("yuccafold.target", placement.target.id)
+            span.set_attribute("yuccafold.placement", placement.reason)
+            headers = forwarded_headers(call, _traceparent(call)) + relay.resume_headers
+            async with exchange(call, placement.target, self._pool) as attempt:
+                await attempt.open()
+                if call.key is not None and not self._once.may_send(call):
+                    raise AttemptFailed(
+                        Verdict.NOT_RUN, FailureKind.LAPSED, "the claim lapsed"
+                    )
+                await self._exchange(call, placement, attempt, headers, body, relay)
+
+    async def _exchange(
+        self,
+        call: Call,
+        placement: Placement,
+        attempt: Exchange,
+        headers: Headers,
+        body: RequestBody,
+        relay: AnswerRelay,
+    ) -> None:
+        early = None
+        try:
+            await attempt.send(headers, body)
+        except EarlyAnswer as answer:
+            early = answer.event
+        if early is None and attempt.needs_body():
+            head = await self._send_and_receive(attempt, body)
+        else:
+            head = await attempt.receive_head(early)
+        if _says_not_run(call, head):
+            raise attempt.not_run_as_told()
+        await relay.pass_on(attempt, head, _answer_headers(call, placement, head))
+
+    async def _send_and_receive(
+        self, attempt: Exchange, body: RequestBody
+    ) -> h11.Response:
+        """Send the body while listening, since a target may answer early."""
+        heads: list[h11.Response] = []
+        failures: list[AttemptFailed | CallRefused] = []
+        async with trio.open_nursery() as nursery:
+
+            async def send() -> None:
+                try:
+                    await attempt.send_body(body)
+                except (AttemptFailed, CallRefused) as error:
+                    failures.append(error)
+                    if isinstance(error, CallRefused):
+                        nursery.cancel_scope.cancel()
+
+            nursery.start_soon(send)
+            try:
+                heads.append(await attempt.receive_head())
+            except AttemptFailed as error:
+                failures.append(error)
+            nursery.cancel_scope.cancel()
+        if heads:
+            return heads[0]
+        raise failures[0]
+
+    async def _after_failure(
+        self,
+        call: Call,
+        target: TargetId,
+        failed: AttemptFailed,
+        body: RequestBody,
+        relay: AnswerRelay,
+    ) -> Refusal | None:
+        """Return why the call is given up, or ``None`` when it is tried again."""
+        if failed.kind is FailureKind.SILENT:
+            for entry in call.settings.targets:
+                if entry.id == target:
+                    await self._pool.discard(entry.address)
+        suspect = failed.kind.target_may_be_dead
+        if suspect and failed.verdict is not Verdict.NOT_RUN:
+            may_go_on = await self._guard.target_died(call, target)
+            if not may_go_on:
+                return _failed(failed, code="request_quarantined")
+        if relay.started and not relay.can_resume:
+            return _failed(failed)
+        if not body.replayable:
+            return _failed(failed)
+        now = self._clock.now()
+        if not self._retries.allows(call, failed.verdict, now):
+            return _failed(failed)
+        self._telemetry.metrics.retries.add(1, {"service": call.service})
+        return None
+
+    async def _give_up(self, call: Call, refusal: Refusal, relay: AnswerRelay) -> None:
+        """Refuse the call, or break its answer off when a part is out."""
+        self._telemetry.metrics.verdicts.add(
+            1, {"service": call.service, "verdict": refusal.verdict.value}
+        )
+        if relay.started:
+            await relay.break_off(refusal)
+        raise CallRefused(refusal)
+
+    def _log_failure(
+        self, call: Call, placement: Placement, attempt: int, failed: AttemptFailed
+    ) -> None:
+        log_event(
+            "attempt_failed",
+            call=call.id,
+            service=call.service,
+            target=placement.target.id,
+            attempt=attempt,
+            verdict=failed.verdict.value,
+            kind=failed.kind.value,
+            reason=str(failed),
+            revision=call.revision,
+        )
+
+
+def _failed(failed: AttemptFailed, code: str = "target_failed") -> Refusal:
+    """Return what the caller is told of a call that is not tried again."""
+    retry_after_ms = 1_000 if failed.verdict is Verdict.NOT_RUN else 0
+    return Refusal(502, code, str(failed), failed.verdict, retry_after_ms)
+
+
+def _says_not_run(call: Call, head: h11.Response) -> bool:
+    """Return whether a trusted target says that it did not run the call."""
+    if not call.settings.traits.trusted_not_run:
+        return False
+    verdict = first_value(tuple(head.headers), b"yuccafold-verdict")
+    return (
+        head.status_code in SERVER_ERROR_STATUSES and verdict == Verdict.NOT_RUN.value
+    )
+
+
+def _answer_headers(call: Call, placement: Placement, head: h11.Response) -> Headers:
+    """Return the headers of a target's answer as the caller gets them."""
+    kept = tuple(
+        (name, value)
+        for name, value in end_to_end(tuple(head.headers))
+        if not name.startswith(b"yuccafold-")
+    )
+    added: Headers = ((VERDICT_HEADER, Verdict.COMPLETE.value.encode()),)
+    if call.turn is not None:
+        added += ((HINT_HEADER, placement.target.id.encode()),)
+    return kept + added
+
+
+def context_of(call: Call) -> Context | None:
+    """Return the trace that the caller asks the call to join."""
+    if call.traceparent is None:
+        return None
+    return PROPAGATOR.extract({"traceparent": call.traceparent})
+
+
+def _traceparent(call: Call) -> str | None:
+    """Return the header of the present span."""
+    carrier: dict[str, str] = {}
+    PROPAGATOR.inject(carrier)
+    return carrier.get("traceparent", call.traceparent)
+
+
+async def _replay(answer: StoredAnswer, responder: Responder) -> None:
+    """Send the answer of an earlier run of the same key."""
+    headers = (*answer.headers, (b"Yuccafold-Replayed", b"true"))
+    await responder.start(answer.status, headers, event_stream=False)
+    if answer.body:
+        await responder.send(answer.body)
+    await responder.finish()
--- /dev/null
+++ b/src/yuccafold/router/_http.py
@@ -0,0 +1,138 @@
+"""One HTTP/1.1 connection over ``h11``, for callers, targets and operators."""
+
+from __future__ import annotations
+
+import select
+from typing import Any
+from typing import Protocol
+from typing import final
+
+import h11
+import trio
+
+READ_BYTES = 65_536
+
+Header = tuple[bytes, bytes]
+Headers = tuple[Header, ...]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+class ByteStream(Protocol):
+    """What an HTTP connection needs of a trio stream."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return the next bytes; empty at the end."""
+        ...
+
+    async def send_all(self, data: bytes) -> None:
+        """Send all of ``data``."""
+        ...
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        ...
+
+
+@final
+class HttpStream:
+    """A trio stream with the ``h11`` state of one side of a connection."""
+
+    def __init__(self, stream: Any, role: type[h11.Sentinel], max_head: int) -> None:
+        self._stream = stream
+        self._http = h11.Connection(role, max_incomplete_event_size=max_head)
+        self._eof = False
+
+    @property
+    def http(self) -> h11.Connection:
+        """The protocol state."""
+        return self._http
+
+    @property
+    def eof(self) -> bool:
+        """Whether the other side has closed."""
+        return self._eof
+
+    async def next_event(self) -> Any:
+        """Return the next ``h11`` event, reading from the stream as needed."""
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self.receive()
+
+    async def receive(self) -> bool:
+        """Feed what arrives next to the protocol; return whether any came."""
+        data = await self._stream.receive_some(READ_BYTES)
+        self._http.receive_data(data)
+        if not data:
+            self._eof = True
+        return bool(data)
+
+    async def send(self, *events: Any) -> None:
+        """Send ``events`` as one write."""
+        data = b"".join(self._http.send(event) or b"" for event in events)
+        if data:
+            await self._stream.send_all(data)
+
+    async def send_encoded(self, data: bytes) -> None:
+        """Send bytes that ``encode`` returned."""
+        await self._stream.send_all(data)
+
+    def encode(self, *events: Any) -> bytes:
+        """Return the bytes of ``events`` without sending them."""
+        return b"".join(self._http.send(event) or b"" for event in events)
+
+    def is_clean(self) -> bool:
+        """Return whether nothing arrived, nor was left over, since the last answer."""
+        if self._http.our_state is not h11.IDLE or self._eof:
+            return False
+        if self._http.their_state is not h11.IDLE or self._http.trailing_data[0]:
+            return False
+        return not self._is_readable()
+
+    def _is_readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        with trio.CancelScope(shield=True):
+            with trio.move_on_after(0):
+                await trio.aclose_forcefully(self._stream)
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return ``headers`` without those that hold for one connection only."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and name not in named
+    )
+
+
+def first_value(headers: Headers, wanted: bytes) -> str | None:
+    """Return the first value of a header as text, or ``None``."""
+    for name, value in headers:
+        if name == wanted:
+            return value.decode("latin-1").strip()
+    return None
--- /dev/null
+++ b/src/yuccafold/router/_listener.py
@@ -0,0 +1,77 @@
+"""A listening socket and the tasks of its connections."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import final
+
+import trio
+
+from yuccafold.telemetry import log_event
+
+BACKLOG = 1_024
+ACCEPT_PAUSE_SECONDS = 0.1
+
+Serve = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+@final
+class Listener:
+    """Accepts connections and runs one task for each, up to a limit.
+
+    Above the limit nothing is accepted, so that callers wait in the kernel's
+    backlog or go to another VM.
+    """
+
+    def __init__(self, listener: trio.SocketListener, limit: int) -> None:
+        self._listener = listener
+        self._slots = trio.Semaphore(limit)
+        self._stopping = trio.CancelScope()
+
+    @classmethod
+    async def open(cls, address: str, limit: int) -> Listener:
+        """Listen on ``address``; port 0 takes any free port."""
+        host, port = address.rsplit(":", 1)
+        host = host.strip("[]")
+        listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+        return cls(listeners[0], limit)
+
+    @property
+    def address(self) -> str:
+        """The address that was bound."""
+        name = self._listener.socket.getsockname()
+        host = f"[{name[0]}]" if ":" in name[0] else name[0]
+        return f"{host}:{name[1]}"
+
+    async def run(self, serve: Serve) -> None:
+        """Accept until stopped; connections already accepted go on."""
+        async with trio.open_nursery() as nursery:
+            with self._stopping:
+                while True:
+                    await self._slots.acquire()
+                    stream = await self._accept()
+                    nursery.start_soon(self._serve, serve, stream)
+
+    async def stop(self) -> None:
+        """Accept nothing more."""
+        self._stopping.cancel()
+        await self._listener.aclose()
+
+    async def _accept(self) -> trio.SocketStream:
+        while True:
+            try:
+                return await self._listener.accept()
+            except OSError as error:
+                # Out of file descriptors: those in use must end first.
+                log_event("accept_failed", error=str(error))
+                await trio.sleep(ACCEPT_PAUSE_SECONDS)
+
+    async def _serve(self, serve: Serve, stream: trio.SocketStream) -> None:
+        try:
+            await serve(stream)
+        except Exception as error:
+            log_event("connection_failed", error=repr(error))
+        finally:
+            self._slots.release()
+            await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/src/yuccafold/router/_operator.py
@@ -0,0 +1,104 @@
+"""The operators' port: readiness, status and metrics as JSON."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import final
+from urllib.parse import parse_qsl
+from urllib.parse import urlsplit
+
+import h11
+import trio
+
+from yuccafold.router._http import HttpStream
+
+MAX_HEAD_BYTES = 16_384
+MAX_BODY_BYTES = 65_536
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OperatorRequest:
+    """A request of an operator: the path's query and the body as JSON."""
+
+    query: dict[str, str]
+    body: Any
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer:
+    """A status and a value that JSON can hold."""
+
+    status: int
+    value: Any
+
+
+Handler = Callable[[OperatorRequest], Awaitable[OperatorAnswer]]
+
+
+@final
+class OperatorPort:
+    """Serves ``handlers`` by method and path."""
+
+    def __init__(self, handlers: dict[tuple[str, str], Handler]) -> None:
+        self._handlers = handlers
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it ends."""
+        http = HttpStream(stream, h11.SERVER, MAX_HEAD_BYTES)
+        try:
+            while await self._serve_one(http):
+                http.http.start_next_cycle()
+        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            return
+        finally:
+            await http.close()
+
+    async def _serve_one(self, http: HttpStream) -> bool:
+        request = await http.next_event()
+        if not isinstance(request, h11.Request):
+            return False
+        body = await _read_body(http)
+        answer = await self._answer(request, body)
+        await _send(http, answer)
+        return http.http.our_state is h11.DONE and http.http.their_state is h11.DONE
+
+    async def _answer(self, request: h11.Request, body: bytes | None) -> OperatorAnswer:
+        url = urlsplit(request.target.decode("latin-1"))
+        handler = self._handlers.get((request.method.decode("latin-1"), url.path))
+        if handler is None:
+            known = [f"{method} {path}" for method, path in self._handlers]
+            return OperatorAnswer(404, {"error": f"expected one of {known}"})
+        if body is None:
+            return OperatorAnswer(413, {"error": "expected a smaller body"})
+        try:
+            value = json.loads(body) if body else None
+        except ValueError as error:
+            return OperatorAnswer(400, {"error": f"expected JSON: {error}"})
+        return await handler(OperatorRequest(dict(parse_qsl(url.query)), value))
+
+
+async def _read_body(http: HttpStream) -> bytes | None:
+    parts: list[bytes] = []
+    size = 0
+    while isinstance(event := await http.next_event(), h11.Data):
+        size += len(event.data)
+        if size > MAX_BODY_BYTES:
+            return None
+        parts.append(bytes(event.data))
+    return b"".join(parts)
+
+
+async def _send(http: HttpStream, answer: OperatorAnswer) -> None:
+    body = json.dumps(answer.value, indent=1, default=str).encode() + b"\n"
+    headers = [
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", str(len(body)).encode()),
+    ]
+    head = h11.Response(status_code=answer.status, headers=headers)
+    await http.send(head, h11.Data(data=body), h11.EndOfMessage())
--- a/src/yuccafold/settings/_process.py
+++ b/src/yuccafold/settings/_process.py
@@ -65,6 +65,8 @@
     platform: PlatformSettings = PlatformSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     claims: ClaimSettings = ClaimSettings()
+    drain_notice_ms: Annotated[int, Field(ge=0, le=600_000)] = 2_000
+    """How long callers are still served after readiness went off."""
     drain_limit_ms: Duration = 330_000
     pause_limit_ms: Duration = 1_000
     max_connections: Annotated[int, Field(ge=1, le=100_000)] = 4_096
