--- /dev/null
+++ b/src/yuccafold/fleet/_codec.py
@@ -0,0 +1,185 @@
+"""The encoding of messages between VMs.
+
+A message is the CBOR array ``[protocol version, kind, fields]``, and a frame
+is a CBOR array of messages. Whatever a peer sends, decoding returns a message
+or a typed fault and raises nothing: unknown versions, kinds, enumeration
+members and trailing fields belong to newer releases and are skipped and
+counted by the caller, so that a fleet can be upgraded one VM at a time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from typing import NoReturn
+from typing import final
+
+import cbor2
+from result import Err
+from result import Ok
+from result import Result
+
+from yuccafold.fleet._fields import FieldError
+from yuccafold.fleet._fields import UnknownMemberError
+from yuccafold.fleet._fields import construct
+from yuccafold.fleet._registry import ByteClass
+from yuccafold.fleet._registry import MessageKind
+from yuccafold.fleet._registry import kind_named
+from yuccafold.fleet._registry import kind_of
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 65_536
+MAX_FRAME_BYTES = 2 * MAX_MESSAGE_BYTES
+MAX_DEPTH = 16
+"""Arrays nested deeper are refused."""
+
+_MAX_SHORT_ARRAY = 23
+_ARRAY = 0x80
+_ARRAY_16_BIT = 0x99
+_BUILT_IN_TAGS = (
+    *range(6),
+    *(25, 28, 29, 30, 35, 36, 37, 100, 256, 258, 260, 261, 1004, 43000, 55799),
+)
+
+
+class DecodeReason(Enum):
+    """Why bytes are not a message of this release."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    UNKNOWN_VERSION = "unknown-version"
+    UNKNOWN_KIND = "unknown-kind"
+    UNKNOWN_MEMBER = "unknown-member"
+
+    @property
+    def is_newer(self) -> bool:
+        """Whether a healthy peer of a newer release may send it."""
+        return self.name.startswith("UNKNOWN")
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class DecodeFault:
+    """Bytes or a value that could not be taken as a message."""
+
+    reason: DecodeReason
+    detail: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Decoded:
+    """A message, its byte class, and how many unknown trailing fields it had."""
+
+    message: Any
+    byte_class: ByteClass
+    skipped_fields: int
+
+
+def encode(message: object) -> bytes:
+    """Return the bytes of a registered ``message``.
+
+    Raises ``ValueError`` when it is not registered or over
+    ``MAX_MESSAGE_BYTES``.
+    """
+    kind = kind_of(message)
+    data = cbor2.dumps([PROTOCOL_VERSION, kind.name, kind.fields_of(message)])
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise ValueError(
+            f"expected a message of at most {MAX_MESSAGE_BYTES} bytes, "
+            f"got a {kind.name} of {len(data)}"
+        )
+    return data
+
+
+def byte_class_of(message: object) -> ByteClass:
+    """Return what the bytes of ``message`` are counted under."""
+    return kind_of(message).byte_class
+
+
+def decode(data: bytes) -> Result[object, DecodeFault]:
+    """Return the message in ``data``."""
+    if len(data) > MAX_MESSAGE_BYTES:
+        return _fault(DecodeReason.TOO_LARGE, f"{len(data)} bytes")
+    return _load(data).and_then(decode_value).map(lambda decoded: decoded.message)
+
+
+def encode_frame(messages: Iterable[bytes]) -> bytes:
+    """Join encoded messages to one frame; at most 65,535 of them."""
+    items = list(messages)
+    if len(items) <= _MAX_SHORT_ARRAY:
+        header = bytes([_ARRAY + len(items)])
+    else:
+        header = bytes([_ARRAY_16_BIT]) + len(items).to_bytes(2, "big")
+    return header + b"".join(items)
+
+
+def decode_frame(data: bytes) -> Iterator[Result[Decoded, DecodeFault]]:
+    """Yield what each message of a frame is; one fault when it is no frame."""
+    if len(data) > MAX_FRAME_BYTES:
+        yield _fault(DecodeReason.TOO_LARGE, f"{len(data)} bytes")
+        return
+    loaded = _load(data)
+    if isinstance(loaded, Err):
+        yield loaded
+    elif type(loaded.ok_value) is not list:
+        yield _fault(DecodeReason.MALFORMED, "a frame is no array")
+    else:
+        yield from map(decode_value, loaded.ok_value)
+
+
+def decode_value(value: Any) -> Result[Decoded, DecodeFault]:
+    """Return the message in a loaded CBOR ``value``."""
+    if type(value) is not list or len(value) < 3:
+        return _fault(DecodeReason.MALFORMED, "a message is no array of three")
+    version, name, fields = value[:3]
+    if type(version) is not int or type(name) is not str or type(fields) is not list:
+        return _fault(DecodeReason.MALFORMED, "a message's head has wrong types")
+    if version != PROTOCOL_VERSION:
+        return _fault(DecodeReason.UNKNOWN_VERSION, str(version)[:40])
+    kind = kind_named(name)
+    if kind is None:
+        return _fault(DecodeReason.UNKNOWN_KIND, name[:40])
+    return _decode_fields(kind, fields)
+
+
+def _decode_fields(
+    kind: MessageKind, fields: list[Any]
+) -> Result[Decoded, DecodeFault]:
+    if len(fields) < kind.required:
+        return _fault(DecodeReason.MALFORMED, f"{kind.name} has too few fields")
+    try:
+        message = construct(kind.message_type, kind.readers, fields)
+    except FieldError as error:
+        return _fault(DecodeReason.MALFORMED, f"{kind.name}: {error}")
+    except UnknownMemberError as error:
+        return _fault(DecodeReason.UNKNOWN_MEMBER, f"{kind.name}: {error}")
+    skipped = max(0, len(fields) - len(kind.readers))
+    return Ok(Decoded(message, kind.byte_class, skipped))
+
+
+def _load(data: bytes) -> Result[Any, DecodeFault]:
+    try:
+        value = cbor2.loads(
+            data,
+            max_depth=MAX_DEPTH,
+            allow_indefinite=False,
+            semantic_decoders=_TAGS_REFUSED,
+        )
+    except Exception as error:  # no input may raise past here
+        return _fault(DecodeReason.MALFORMED, str(error)[:80])
+    return Ok(value)
+
+
+def _refuse_tag(*_: Any) -> NoReturn:
+    raise cbor2.CBORDecodeError("tags are refused")
+
+
+_TAGS_REFUSED = dict.fromkeys(_BUILT_IN_TAGS, _refuse_tag)
+
+
+def _fault(reason: DecodeReason, detail: str) -> Err[DecodeFault]:
+    return Err(DecodeFault(reason, detail))
