Add stand-ins for targets and platform, and a verifying load generator

Cause: the router needs targets and a platform to run against, and callers that notice a wrong or partial answer. Change: model engine, plain service, settings service, VM list, weight store and relay over one h11 server with faults set by settings; chat and plain callers with typed totals.

--- /dev/null
+++ b/src/yuccafold/load/_chat.py
@@ -0,0 +1,195 @@
+"""A returning chat: it grows with each turn and checks each answer."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import dataclass
+from typing import Any
+from typing import final
+
+import trio
+from hdrh.histogram import HdrHistogram
+
+from yuccafold.load._caller import Attempts
+from yuccafold.load._caller import CallerSettings
+from yuccafold.load._caller import record_head
+from yuccafold.load._caller import refused_outcome
+from yuccafold.load._caller import retry_after_ms
+from yuccafold.load._client import Answer
+from yuccafold.load._client import BrokenCallError
+from yuccafold.load._client import CallRequest
+from yuccafold.load._client import HttpCaller
+from yuccafold.load._events import EventReader
+from yuccafold.load._report import US_PER_SECOND
+from yuccafold.load._report import LoadReport
+from yuccafold.load._report import Outcome
+from yuccafold.standins import ChatMessage
+from yuccafold.standins import answer_text
+
+HINT_HEADER = "Yuccafold-Hint"
+JSON_TYPE = ("Content-Type", "application/json")
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ChatSettings:
+    """What one chat sends."""
+
+    caller: CallerSettings
+    path: str = "/v1/chat/completions"
+    model: str = "menu-large"
+    stream: bool = True
+    system_prompt: str = "You plan the menu of the week."
+    words_per_turn: int = 20
+    max_tokens: int | None = None
+    """The length of each answer; ``None`` lets the engine choose."""
+
+
+@final
+@dataclass(slots=True)
+class _Turn:
+    """One attempt at one turn; ``text`` is what came of the answer."""
+
+    outcome: Outcome
+    text: str = ""
+    retry_after_ms: int = 0
+
+
+@final
+class ChatCaller:
+    """One chat; ``turn`` sends its next message and verifies the answer.
+
+    Answers are checked against the stand-in engine's fixed function of the
+    prompt, so that a part or another caller's answer is noticed.
+    """
+
+    def __init__(
+        self, name: str, settings: ChatSettings, rng: random.Random, report: LoadReport
+    ) -> None:
+        self._name = name
+        self._settings = settings
+        self._rng = rng
+        self._report = report
+        self._http = HttpCaller()
+        self._messages = [ChatMessage("system", settings.system_prompt)]
+        self._hint: str | None = None
+        self._turns = 0
+
+    @property
+    def messages(self) -> tuple[ChatMessage, ...]:
+        """The chat so far."""
+        return tuple(self._messages)
+
+    async def turn(self) -> Outcome:
+        """Send the next message, repeating it on failure; return how it ended."""
+        self._turns += 1
+        count = self._settings.words_per_turn
+        words = (f"{self._rng.getrandbits(24):06x}" for _ in range(count))
+        content = f"{self._name} {self._turns}: {' '.join(words)}"
+        asked = [*self._messages, ChatMessage("user", content)]
+        attempts = Attempts(self._settings.caller, self._rng)
+        while True:
+            turn = await self._attempt(attempts.next_address(), asked)
+            if turn.outcome is Outcome.WHOLE or attempts.is_last:
+                break
+            if turn.outcome in (Outcome.WRONG, Outcome.CUT):
+                break
+            await attempts.wait(turn.retry_after_ms)
+        self._report.turns[turn.outcome] += 1
+        if turn.outcome is Outcome.WHOLE:
+            self._messages = [*asked, ChatMessage("assistant", turn.text)]
+        return turn.outcome
+
+    async def close(self) -> None:
+        """Close the chat's connections."""
+        await self._http.close()
+
+    async def _attempt(self, address: str, asked: list[ChatMessage]) -> _Turn:
+        """Send the chat once; a failure or timeout counts as broken."""
+        self._report.attempts += 1
+        timeout = self._settings.caller.timeout_ms / 1000
+        try:
+            with trio.fail_after(timeout):
+                host = self._settings.caller.host
+                request = self._request(asked)
+                async with self._http.call(address, request, host) as answer:
+                    return await self._read(answer, asked, trio.current_time())
+        except (BrokenCallError, trio.TooSlowError) as error:
+            self._report.errors[type(error.__cause__ or error).__name__] += 1
+            return _Turn(Outcome.BROKEN)
+
+    def _request(self, asked: list[ChatMessage]) -> CallRequest:
+        body: dict[str, Any] = {
+            "model": self._settings.model,
+            "messages": [message.as_json() for message in asked],
+            "stream": self._settings.stream,
+        }
+        if self._settings.max_tokens is not None:
+            body["max_tokens"] = self._settings.max_tokens
+        hint = ((HINT_HEADER, self._hint),) if self._hint else ()
+        headers = (JSON_TYPE, *self._settings.caller.headers, *hint)
+        data = json.dumps(body).encode()
+        return CallRequest("POST", self._settings.path, headers, data)
+
+    async def _read(
+        self, answer: Answer, asked: list[ChatMessage], sent_at: float
+    ) -> _Turn:
+        record_head(answer, self._report)
+        if answer.status != 200:
+            await answer.read()
+            self._report.errors[f"status {answer.status}"] += 1
+            return _Turn(refused_outcome(answer), "", retry_after_ms(answer))
+        self._hint = answer.header(HINT_HEADER.lower()) or self._hint
+        if self._settings.stream:
+            turn = await self._read_stream(answer, sent_at)
+        else:
+            turn = await self._read_whole(answer, sent_at)
+        expected = answer_text(asked, self._settings.max_tokens)
+        if turn.outcome is Outcome.WHOLE and turn.text != expected:
+            turn.outcome = Outcome.WRONG
+        return turn
+
+    async def _read_whole(self, answer: Answer, sent_at: float) -> _Turn:
+        body = await answer.read()
+        self._record(self._report.first_token_us, sent_at)
+        try:
+            value = json.loads(body)
+            text = value["choices"][0]["message"]["content"]
+        except (ValueError, KeyError, IndexError, TypeError):
+            return _Turn(Outcome.WRONG)
+        self._record_usage(value.get("usage"))
+        return _Turn(Outcome.WHOLE, text)
+
+    async def _read_stream(self, answer: Answer, sent_at: float) -> _Turn:
+        events = EventReader()
+        last = sent_at
+        histogram = self._report.first_token_us
+        while (part := await answer.next_part()) is not None:
+            try:
+                tokens = events.feed(part)
+            except (ValueError, KeyError, TypeError):
+                return _Turn(Outcome.WRONG)
+            if tokens:
+                self._record(histogram, last)
+                last = trio.current_time()
+                histogram = self._report.token_gap_us
+        if events.error is not None:
+            self._report.errors["error event"] += 1
+            return _Turn(Outcome.BROKEN)
+        if not events.is_whole:
+            return _Turn(Outcome.CUT)
+        self._record_usage(events.usage)
+        return _Turn(Outcome.WHOLE, events.text)
+
+    def _record(self, histogram: HdrHistogram, since: float) -> None:
+        microseconds = (trio.current_time() - since) * US_PER_SECOND
+        histogram.record_value(max(1, round(microseconds)))
+
+    def _record_usage(self, usage: dict[str, Any] | None) -> None:
+        if usage is None:
+            return
+        details = usage.get("prompt_tokens_details") or {}
+        self._report.prompt_tokens += usage.get("prompt_tokens", 0)
+        self._report.cached_tokens += details.get("cached_tokens", 0)
+        self._report.answer_tokens += usage.get("completion_tokens", 0)
--- /dev/null
+++ b/src/yuccafold/load/_report.py
@@ -0,0 +1,144 @@
+"""What a load run came to."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from typing import final
+
+from hdrh.histogram import HdrHistogram
+
+US_PER_SECOND = 1_000_000
+US_PER_MS = 1000
+MAX_DURATION_US = 600 * US_PER_SECOND
+SIGNIFICANT_DIGITS = 3
+
+
+class Outcome(Enum):
+    """How one chat turn or call ended for its caller."""
+
+    WHOLE = "whole"
+    """The caller's own whole answer."""
+    WRONG = "wrong"
+    """A whole answer that isn't the caller's own."""
+    CUT = "cut"
+    """A part that ended as if it were whole."""
+    BROKEN = "broken"
+    """An explicit error in or instead of an answer; it may have run."""
+    REFUSED = "refused"
+    """Refused as not run."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CallRecord:
+    """One non-idempotent call: its key and how it ended."""
+
+    key: str
+    outcome: Outcome
+
+
+def new_histogram() -> HdrHistogram:
+    """Return a histogram of durations in microseconds."""
+    return HdrHistogram(1, MAX_DURATION_US, SIGNIFICANT_DIGITS)
+
+
+def percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    """Return a percentile in milliseconds; 0 when nothing was recorded."""
+    return histogram.get_value_at_percentile(percentile) / US_PER_MS
+
+
+@final
+class LoadReport:
+    """Totals over all callers of one run."""
+
+    def __init__(self) -> None:
+        self.turns: Counter[Outcome] = Counter()
+        self.calls: list[CallRecord] = []
+        self.lookups: Counter[Outcome] = Counter()
+        self.attempts = 0
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.answer_tokens = 0
+        self.verdicts: Counter[str] = Counter()
+        self.revisions: Counter[str] = Counter()
+        self.errors: Counter[str] = Counter()
+        self.first_token_us = new_histogram()
+        self.token_gap_us = new_histogram()
+        self.call_us = new_histogram()
+
+    @property
+    def call_outcomes(self) -> Counter[Outcome]:
+        """How the non-idempotent calls ended."""
+        return Counter(call.outcome for call in self.calls)
+
+    @property
+    def cache_reuse(self) -> float:
+        """The share of prompt tokens that were not prefilled again."""
+        return self.cached_tokens / self.prompt_tokens if self.prompt_tokens else 0.0
+
+    @property
+    def all_whole(self) -> bool:
+        """Whether every turn, call and lookup got its own whole answer."""
+        ended = self.turns + self.call_outcomes + self.lookups
+        return set(ended) <= {Outcome.WHOLE}
+
+    def rows(self) -> Iterator[tuple[str, str]]:
+        """Yield the name and value of each row of the printed table."""
+        kinds = {
+            "chat turns": self.turns,
+            "non-idempotent calls": self.call_outcomes,
+            "lookups": self.lookups,
+        }
+        for kind, outcomes in kinds.items():
+            if outcomes:
+                parts = (f"{outcomes[outcome]} {outcome.value}" for outcome in Outcome)
+                yield kind, ", ".join(parts)
+        yield "attempts", str(self.attempts)
+        yield "verdicts", _counts(self.verdicts)
+        yield "revisions", _counts(self.revisions)
+        yield "errors", _counts(self.errors)
+        yield "cache reuse", f"{self.cache_reuse:.1%} of {self.prompt_tokens} tokens"
+        yield "first token", _percentiles(self.first_token_us)
+        yield "between tokens", _percentiles(self.token_gap_us)
+        yield "call", _percentiles(self.call_us)
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the totals for programs; durations are in milliseconds."""
+        return {
+            "turns": _by_value(self.turns),
+            "calls": _by_value(self.call_outcomes),
+            "lookups": _by_value(self.lookups),
+            "attempts": self.attempts,
+            "prompt_tokens": self.prompt_tokens,
+            "cached_tokens": self.cached_tokens,
+            "answer_tokens": self.answer_tokens,
+            "verdicts": dict(self.verdicts),
+            "revisions": dict(self.revisions),
+            "errors": dict(self.errors),
+            "first_token_ms": _quantiles(self.first_token_us),
+            "token_gap_ms": _quantiles(self.token_gap_us),
+            "call_ms": _quantiles(self.call_us),
+        }
+
+
+def _by_value(outcomes: Counter[Outcome]) -> dict[str, int]:
+    return {outcome.value: outcomes[outcome] for outcome in Outcome}
+
+
+def _counts(counter: Counter[str]) -> str:
+    return ", ".join(f"{count} {name}" for name, count in counter.most_common()) or "-"
+
+
+def _quantiles(histogram: HdrHistogram) -> dict[str, float]:
+    return {f"p{point}": percentile_ms(histogram, point) for point in (50, 95, 99)}
+
+
+def _percentiles(histogram: HdrHistogram) -> str:
+    if not histogram.get_total_count():
+        return "-"
+    parts = _quantiles(histogram).items()
+    return ", ".join(f"{name} {value:.1f} ms" for name, value in parts)
--- /dev/null
+++ b/src/yuccafold/standins/__init__.py
@@ -0,0 +1,91 @@
+"""Small stand-ins for the platform and the targets, over real HTTP/1.1.
+
+They serve the tests, the demo and the bench. Each is built from a frozen
+settings object and has ``serve(*, task_status)``, which reports its address.
+"""
+
+from __future__ import annotations
+
+from yuccafold.standins._answer import Block
+from yuccafold.standins._answer import ChatMessage
+from yuccafold.standins._answer import answer_text
+from yuccafold.standins._answer import answer_tokens
+from yuccafold.standins._answer import prompt_blocks
+from yuccafold.standins._batch import CostModel
+from yuccafold.standins._batch import Priority
+from yuccafold.standins._chat_answer import Usage
+from yuccafold.standins._engine import EngineSettings
+from yuccafold.standins._engine import ModelEngine
+from yuccafold.standins._faults import NO_FAULTS
+from yuccafold.standins._faults import Faults
+from yuccafold.standins._faults import Malformed
+from yuccafold.standins._generation import EngineLoad
+from yuccafold.standins._generation import EngineRun
+from yuccafold.standins._generation import GenerationSettings
+from yuccafold.standins._generation import RunState
+from yuccafold.standins._http import BoundAddress
+from yuccafold.standins._http import HttpServer
+from yuccafold.standins._http import ServerSettings
+from yuccafold.standins._orders import EngineState
+from yuccafold.standins._orders import Order
+from yuccafold.standins._orders import OrderKind
+from yuccafold.standins._plain import PlainRun
+from yuccafold.standins._plain import PlainService
+from yuccafold.standins._plain import PlainSettings
+from yuccafold.standins._plain import body_digest
+from yuccafold.standins._published import ServiceCall
+from yuccafold.standins._relay import Relay
+from yuccafold.standins._settings_service import SettingsFaults
+from yuccafold.standins._settings_service import SettingsService
+from yuccafold.standins._settings_service import SettingsServiceSettings
+from yuccafold.standins._vm_list import ListedState
+from yuccafold.standins._vm_list import ListedTarget
+from yuccafold.standins._vm_list import ListedVm
+from yuccafold.standins._vm_list import VmList
+from yuccafold.standins._vm_list import VmListSettings
+from yuccafold.standins._weight_store import WeightStore
+from yuccafold.standins._weight_store import WeightStoreBusyError
+from yuccafold.standins._weight_store import WeightStoreSettings
+
+__all__ = [
+    "Block",
+    "BoundAddress",
+    "ChatMessage",
+    "CostModel",
+    "EngineLoad",
+    "EngineRun",
+    "EngineSettings",
+    "EngineState",
+    "Faults",
+    "GenerationSettings",
+    "HttpServer",
+    "ListedState",
+    "ListedTarget",
+    "ListedVm",
+    "Malformed",
+    "ModelEngine",
+    "NO_FAULTS",
+    "Order",
+    "OrderKind",
+    "PlainRun",
+    "PlainService",
+    "PlainSettings",
+    "Priority",
+    "Relay",
+    "RunState",
+    "ServerSettings",
+    "ServiceCall",
+    "SettingsFaults",
+    "SettingsService",
+    "SettingsServiceSettings",
+    "Usage",
+    "VmList",
+    "VmListSettings",
+    "WeightStore",
+    "WeightStoreBusyError",
+    "WeightStoreSettings",
+    "answer_text",
+    "answer_tokens",
+    "body_digest",
+    "prompt_blocks",
+]
--- /dev/null
+++ b/src/yuccafold/standins/_batch.py
@@ -0,0 +1,172 @@
+"""Continuous batching: which sequences run and how long each step takes."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import final
+
+import trio
+
+MS_PER_SECOND = 1000
+
+
+class Priority(IntEnum):
+    """The order in which waiting sequences enter the batch."""
+
+    HIGH = 0
+    NORMAL = 1
+    LOW = 2
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CostModel:
+    """How long an engine's work takes, in milliseconds.
+
+    ``time_scale`` multiplies all; 0 makes every step immediate.
+    """
+
+    prefill_ms_per_token: float = 0.2
+    decode_ms: float = 20.0
+    decode_ms_per_sequence: float = 0.5
+    max_batch: int = 32
+    time_scale: float = 1.0
+
+    def step_seconds(self, prefill_tokens: int, sequences: int) -> float:
+        """Return how long one step takes."""
+        decode = self.decode_ms + self.decode_ms_per_sequence * sequences
+        total = decode + self.prefill_ms_per_token * prefill_tokens
+        return total * self.time_scale / MS_PER_SECOND
+
+
+@final
+class Sequence:
+    """One answer that is generated; ``tokens`` yields them as they come."""
+
+    def __init__(
+        self, priority: Priority, uncached: int, tokens: tuple[str, ...], held: int = 0
+    ) -> None:
+        self.priority = priority
+        self.uncached = uncached
+        self._tokens = tokens
+        self._made = held
+        # The buffer has room for all, so that a slow caller never blocks a step.
+        self._send, self._receive = trio.open_memory_channel[str](len(tokens) + 1)
+        for token in tokens[:held]:
+            self._send.send_nowait(token)
+        if self.is_done:
+            self._send.close()
+
+    @property
+    def made(self) -> int:
+        """How many tokens were generated."""
+        return self._made
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the whole answer was generated."""
+        return self._made == len(self._tokens)
+
+    @property
+    def work_tokens(self) -> int:
+        """The tokens that are still to prefill and to generate."""
+        return self.uncached + len(self._tokens) - self._made
+
+    @property
+    def tokens(self) -> trio.MemoryReceiveChannel[str]:
+        """The channel of generated tokens; it ends after the last."""
+        return self._receive
+
+    def advance(self) -> None:
+        """Generate one token."""
+        self.uncached = 0
+        self._send.send_nowait(self._tokens[self._made])
+        self._made += 1
+        if self.is_done:
+            self._send.close()
+
+
+@final
+class Batch:
+    """The sequences that run and those that wait; ``run`` carries them.
+
+    ``stepped`` is called after each step.
+    """
+
+    def __init__(self, cost: CostModel, stepped: Callable[[], None]) -> None:
+        self._cost = cost
+        self._stepped = stepped
+        self._waiting: list[tuple[Priority, int, Sequence]] = []
+        self._running: list[Sequence] = []
+        self._order = itertools.count()
+        self._work = trio.Event()
+        self._steps = 0
+
+    @property
+    def running(self) -> int:
+        """How many sequences run."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """How many sequences wait for room."""
+        return len(self._waiting)
+
+    @property
+    def steps(self) -> int:
+        """How many steps were made."""
+        return self._steps
+
+    @property
+    def work_tokens(self) -> int:
+        """The tokens that are still to prefill and to generate."""
+        return sum(sequence.work_tokens for sequence in self._sequences())
+
+    def add(self, sequence: Sequence) -> None:
+        """Let ``sequence`` wait for room in the batch."""
+        if not sequence.is_done:
+            entry = (sequence.priority, next(self._order), sequence)
+            heapq.heappush(self._waiting, entry)
+            self._work.set()
+
+    def remove(self, sequence: Sequence) -> None:
+        """Cancel ``sequence`` if it is not done."""
+        self._running = [kept for kept in self._running if kept is not sequence]
+        self._waiting = [kept for kept in self._waiting if kept[2] is not sequence]
+        heapq.heapify(self._waiting)
+
+    def clear(self) -> None:
+        """Forget all sequences."""
+        self._running = []
+        self._waiting = []
+
+    async def run(self) -> None:
+        """Make steps while there is work."""
+        while True:
+            if not self._running and not self._waiting:
+                self._work = trio.Event()
+                await self._work.wait()
+            self._fill()
+            assert len(self._running) <= self._cost.max_batch, len(self._running)
+            prefill = sum(sequence.uncached for sequence in self._running)
+            await trio.sleep(self._cost.step_seconds(prefill, len(self._running)))
+            self._step()
+
+    def _fill(self) -> None:
+        while self._waiting and len(self._running) < self._cost.max_batch:
+            self._running.append(heapq.heappop(self._waiting)[2])
+
+    def _step(self) -> None:
+        self._steps += 1
+        for sequence in self._running:
+            sequence.advance()
+        self._running = [kept for kept in self._running if not kept.is_done]
+        self._stepped()
+
+    def _sequences(self) -> Iterator[Sequence]:
+        return itertools.chain(self._running, (entry[2] for entry in self._waiting))
--- /dev/null
+++ b/src/yuccafold/standins/_wire.py
@@ -0,0 +1,138 @@
+"""One accepted connection, with the faults that concern its bytes."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from typing import NoReturn
+from typing import final
+
+import trio
+
+from yuccafold.standins._faults import Faults
+from yuccafold.standins._faults import Malformed
+
+RECEIVE_BYTES = 65_536
+TRUNCATED_TAIL_BYTES = 5
+"""What a truncated response lacks: as long as the last chunk's marker."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+MALFORMED_HEADS = {
+    Malformed.STATUS_LINE: b"HTTP/one 200 fine\r\nContent-Length: 0\r\n\r\n",
+    Malformed.HEADER: b"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n",
+    Malformed.CONTENT_LENGTH: b"HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n",
+    Malformed.CHUNK_SIZE: (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n{}\r\n"
+    ),
+}
+
+SECOND_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
+FURTHER_BYTES = b"further bytes"
+
+
+class ConnectionDroppedError(Exception):
+    """The connection was closed by a fault."""
+
+
+@final
+class Wire:
+    """Counts the bytes of each exchange and applies the faults to them.
+
+    ``take_faults`` gives the faults of the next exchange; it is called when
+    the exchange's first byte has arrived.
+    """
+
+    def __init__(
+        self, stream: trio.SocketStream, take_faults: Callable[[], Faults]
+    ) -> None:
+        self._stream = stream
+        self._take_faults = take_faults
+        self._faults: Faults | None = None
+        self._received = 0
+        self._sent = 0
+        self._withheld = b""
+
+    @property
+    def faults(self) -> Faults:
+        """The faults of the present exchange."""
+        return self._faults or Faults()
+
+    @property
+    def sent(self) -> int:
+        """How many bytes of the present exchange's response were written."""
+        return self._sent
+
+    def next_exchange(self) -> None:
+        """Forget the exchange that is over."""
+        self._faults = None
+        self._received = 0
+        self._sent = 0
+        self._withheld = b""
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or none at the connection's end."""
+        if self._faults is None:
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            self._faults = self._take_faults()
+        end = self.faults.close_at_request_byte
+        if end is not None and self._received >= end:
+            await self.drop()
+        limit = (
+            RECEIVE_BYTES if end is None else min(end - self._received, RECEIVE_BYTES)
+        )
+        data = await self._stream.receive_some(limit)
+        self._received += len(data)
+        if data and self._received == end:
+            await self.drop()
+        return data
+
+    async def ignore(self) -> None:
+        """Read and discard until the other side closes."""
+        async for _ in self._stream:
+            pass
+
+    async def send(self, data: bytes) -> None:
+        """Write ``data``, as far as the faults allow."""
+        faults = self.faults
+        if faults.malformed is not None:
+            await self._stream.send_all(MALFORMED_HEADS[faults.malformed])
+            await self.drop()
+        if faults.truncated:
+            data = self._withheld + data
+            self._withheld = data[-TRUNCATED_TAIL_BYTES:]
+            data = data[:-TRUNCATED_TAIL_BYTES]
+        closing = self._allowed(data, faults.close_at_response_byte)
+        silencing = self._allowed(data, faults.silent_at_response_byte)
+        part = min(closing, silencing, key=len)
+        await self._stream.send_all(part)
+        self._sent += len(part)
+        if self._sent == faults.close_at_response_byte:
+            await self.drop()
+        if self._sent == faults.silent_at_response_byte:
+            await trio.sleep_forever()
+
+    def _allowed(self, data: bytes, end: int | None) -> bytes:
+        """Return what of ``data`` lies before the response's byte ``end``."""
+        return data if end is None else data[: end - self._sent]
+
+    async def end_response(self) -> None:
+        """Apply the faults that come after a whole response."""
+        if self.faults.truncated:
+            await self.drop()
+        if self.faults.overlong:
+            await self._stream.send_all(FURTHER_BYTES)
+        if self.faults.answer_twice:
+            await self._stream.send_all(SECOND_RESPONSE)
+
+    async def drop(self) -> NoReturn:
+        """Close the connection at once."""
+        if self.faults.reset:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await self.close()
+        raise ConnectionDroppedError
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await trio.aclose_forcefully(self._stream)
