--- /dev/null
+++ b/src/yuccafold/delivery/_refusals.py
@@ -0,0 +1,71 @@
+"""The refusals of the claim protocol, as callers see them."""
+
+from __future__ import annotations
+
+from yuccafold._verdict import Refusal
+from yuccafold._verdict import Verdict
+
+CONFLICT = 409
+UNPROCESSABLE = 422
+UNAVAILABLE = 503
+
+RETRY_SOON_MS = 200
+RETRY_LATER_MS = 1_000
+
+
+def list_stale() -> Refusal:
+    """Return the refusal of a VM that doesn't know the present VM list."""
+    reason = "the VM list was not confirmed lately, so the key can't be claimed"
+    return _not_run("vm-list-stale", reason, RETRY_LATER_MS)
+
+
+def unreachable() -> Refusal:
+    """Return the refusal when too few seats voted."""
+    reason = "too few VMs could vouch that the key was not used; this call was not run"
+    return _not_run("claim-unreachable", reason, RETRY_LATER_MS)
+
+
+def contended() -> Refusal:
+    """Return the refusal when an unused claim stood in the way."""
+    reason = "another call with the key was in the way and did not run either"
+    return _not_run("claim-contended", reason, RETRY_SOON_MS)
+
+
+def void() -> Refusal:
+    """Return the refusal when a granted claim may no longer be used."""
+    reason = "the claim on the key lapsed before the call was sent"
+    return _not_run("claim-void", reason, RETRY_SOON_MS)
+
+
+def full() -> Refusal:
+    """Return the refusal when no further claim can be remembered."""
+    reason = "this VM holds as many claims as it can remember"
+    return _not_run("claims-full", reason, RETRY_LATER_MS)
+
+
+def in_use() -> Refusal:
+    """Return the refusal while an earlier call with the key runs."""
+    reason = "a call with this idempotency key is running"
+    return Refusal(CONFLICT, "key-in-use", reason, Verdict.MAY_HAVE_RUN, RETRY_LATER_MS)
+
+
+def uncertain() -> Refusal:
+    """Return the refusal when an earlier call's fate is not known."""
+    reason = "an earlier call with this idempotency key may have run"
+    return Refusal(CONFLICT, "key-uncertain", reason, Verdict.MAY_HAVE_RUN)
+
+
+def answer_gone() -> Refusal:
+    """Return the refusal when the earlier call's answer is not held any more."""
+    reason = "the call with this idempotency key ran; its answer is no longer held"
+    return Refusal(CONFLICT, "answer-gone", reason, Verdict.COMPLETE)
+
+
+def key_reused() -> Refusal:
+    """Return the refusal of a key that was used with another body."""
+    reason = "this idempotency key was used with another method, path or body"
+    return Refusal(UNPROCESSABLE, "key-reused", reason, Verdict.NOT_RUN)
+
+
+def _not_run(code: str, reason: str, retry_after_ms: int) -> Refusal:
+    return Refusal(UNAVAILABLE, code, reason, Verdict.NOT_RUN, retry_after_ms)
--- /dev/null
+++ b/src/yuccafold/delivery/_retry.py
@@ -0,0 +1,150 @@
+"""Decides whether a failed attempt is tried again, and when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from typing import final
+
+from yuccafold._clock import Milliseconds
+from yuccafold._verdict import Verdict
+from yuccafold.settings import Policy
+
+BUDGET_CAPACITY = 10.0
+"""Retries that an idle VM may do at once when its service turns sick."""
+
+MAX_BACKOFF_DOUBLINGS = 6
+
+LONGEST_BACKOFF = Milliseconds(5_000)
+
+
+@final
+class RetryBudget:
+    """A token bucket: each request earns ``share`` of a retry.
+
+    Every VM keeps the share of its own requests, so the fleet does.
+    """
+
+    def __init__(self, capacity: float = BUDGET_CAPACITY) -> None:
+        self._capacity = capacity
+        self._tokens = capacity
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be done now."""
+        return self._tokens
+
+    def note_request(self, share: float) -> None:
+        """Earn ``share`` of a retry for one received request."""
+        self._tokens = min(self._capacity, self._tokens + share)
+
+    def has_token(self) -> bool:
+        """Return whether a retry may be done now."""
+        # Ten times a tenth is a little less than one.
+        return self._tokens >= 1.0 - 1e-9
+
+    def spend(self) -> None:
+        """Take one retry out; there must be one."""
+        assert self.has_token(), f"retry budget holds {self._tokens}"
+        self._tokens = max(0.0, self._tokens - 1.0)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """How an attempt failed.
+
+    ``attempt`` counts from 1. ``bytes_relayed`` says whether the caller already
+    has a part of the answer. ``remaining_ms`` is left of the caller's deadline.
+    """
+
+    verdict: Verdict
+    idempotent: bool
+    attempt: int
+    remaining_ms: int
+    bytes_relayed: bool = False
+
+
+class GiveUpReason(Enum):
+    """Why a failed attempt is not tried again."""
+
+    COMPLETE = "complete"
+    MAY_HAVE_RUN = "may-have-run"
+    ANSWER_BEGUN = "answer-begun"
+    ATTEMPTS = "attempts"
+    DEADLINE = "deadline"
+    BUDGET = "budget"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RetryAfter:
+    """Try again after ``delay_ms``."""
+
+    delay_ms: Milliseconds
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer the caller with the failure."""
+
+    reason: GiveUpReason
+
+
+RetryDecision = RetryAfter | GiveUp
+
+
+def decide_retry(
+    policy: Policy, end: AttemptEnd, budget_allows: bool, rng: Random
+) -> RetryDecision:
+    """Return whether to try again; depends on the arguments alone.
+
+    A caller that follows a ``RetryAfter`` spends one token of its budget.
+    """
+    reason = _obstacle(policy, end, budget_allows)
+    if reason is not None:
+        return GiveUp(reason)
+    delay = backoff(policy, end.attempt, rng)
+    if delay >= end.remaining_ms:
+        return GiveUp(GiveUpReason.DEADLINE)
+    return RetryAfter(delay)
+
+
+def backoff(policy: Policy, attempt: int, rng: Random) -> Milliseconds:
+    """Return a wait after ``attempt``: full jitter below a doubling ceiling."""
+    doublings = min(attempt - 1, MAX_BACKOFF_DOUBLINGS)
+    ceiling = min(policy.retry_backoff_ms << doublings, LONGEST_BACKOFF)
+    return Milliseconds(rng.randint(0, ceiling))
+
+
+def hedge_delay(
+    policy: Policy, idempotent: bool, attempt: int, remaining_ms: int
+) -> Milliseconds | None:
+    """Return when a second copy of a lookup may go out, or None for never.
+
+    Only the first attempt is hedged, so a request has at most one hedge.
+    """
+    delay = policy.hedge_after_ms
+    if delay == 0 or not idempotent or attempt != 1 or delay >= remaining_ms:
+        return None
+    return Milliseconds(delay)
+
+
+def _obstacle(
+    policy: Policy, end: AttemptEnd, budget_allows: bool
+) -> GiveUpReason | None:
+    """Return the first reason against another attempt."""
+    obstacles = (
+        (end.verdict is Verdict.COMPLETE, GiveUpReason.COMPLETE),
+        (end.bytes_relayed, GiveUpReason.ANSWER_BEGUN),
+        (
+            end.verdict is Verdict.MAY_HAVE_RUN and not end.idempotent,
+            GiveUpReason.MAY_HAVE_RUN,
+        ),
+        (end.attempt >= policy.max_attempts, GiveUpReason.ATTEMPTS),
+        (end.remaining_ms <= 0, GiveUpReason.DEADLINE),
+        (not budget_allows, GiveUpReason.BUDGET),
+    )
+    return next((reason for applies, reason in obstacles if applies), None)
