Count slots of each target at one owner

Cause: routers that decide on their own counts overshoot the load bound. Change: messages, typed outcomes and the load ledger. Each target has one owning VM that grants slots; floors of in-flight requests are promised to it under leases; a new owner waits for the list's lag and collects held slots.

--- /dev/null
+++ b/src/yuccafold/placement/__init__.py
@@ -0,0 +1,45 @@
+"""Where requests go: ranked candidates, and a load bound over the whole fleet."""
+
+from __future__ import annotations
+
+from yuccafold.placement._client import SlotClient
+from yuccafold.placement._ledger import LoadLedger
+from yuccafold.placement._messages import MESSAGES
+from yuccafold.placement._messages import DenialReason
+from yuccafold.placement._messages import register_messages
+from yuccafold.placement._outcome import Candidate
+from yuccafold.placement._outcome import CandidateReason
+from yuccafold.placement._outcome import Placement
+from yuccafold.placement._outcome import SlotAsk
+from yuccafold.placement._outcome import SlotGranted
+from yuccafold.placement._outcome import SlotOutcome
+from yuccafold.placement._outcome import SlotRefused
+from yuccafold.placement._outcome import Step
+from yuccafold.placement._owner import Phase
+from yuccafold.placement._owner import SlotOwner
+from yuccafold.placement._view import FleetView
+from yuccafold.placement._view import LedgerSettings
+from yuccafold.placement._view import RankerSettings
+from yuccafold.placement._view import TargetState
+
+__all__ = [
+    "MESSAGES",
+    "Candidate",
+    "CandidateReason",
+    "DenialReason",
+    "FleetView",
+    "LedgerSettings",
+    "LoadLedger",
+    "Phase",
+    "Placement",
+    "RankerSettings",
+    "SlotAsk",
+    "SlotClient",
+    "SlotGranted",
+    "SlotOutcome",
+    "SlotOwner",
+    "SlotRefused",
+    "Step",
+    "TargetState",
+    "register_messages",
+]
