--- a/src/yuccafold/placement/__init__.py
+++ b/src/yuccafold/placement/__init__.py
@@ -17,6 +17,9 @@
 from yuccafold.placement._outcome import Step
 from yuccafold.placement._owner import Phase
 from yuccafold.placement._owner import SlotOwner
+from yuccafold.placement._placing import Placing
+from yuccafold.placement._placing import home_multiple
+from yuccafold.placement._ranker import Ranker
 from yuccafold.placement._view import FleetView
 from yuccafold.placement._view import LedgerSettings
 from yuccafold.placement._view import RankerSettings
@@ -32,6 +35,8 @@
     "LoadLedger",
     "Phase",
     "Placement",
+    "Placing",
+    "Ranker",
     "RankerSettings",
     "SlotAsk",
     "SlotClient",
@@ -41,5 +46,6 @@
     "SlotRefused",
     "Step",
     "TargetState",
+    "home_multiple",
     "register_messages",
 ]
--- a/src/yuccafold/placement/_messages.py
+++ b/src/yuccafold/placement/_messages.py
@@ -163,17 +163,17 @@
 
 
 MESSAGES: dict[str, type] = {
-    "slot-request": SlotRequest,
-    "slot-grant": SlotGrant,
-    "slot-denial": SlotDenial,
-    "slot-release": SlotRelease,
-    "slot-record": RecordRequest,
-    "slot-recorded": RecordReply,
-    "load-floors": Floors,
-    "load-floors-reply": FloorsReply,
-    "slot-query": SlotQuery,
-    "slot-report": SlotReport,
-    "slot-farewell": Farewell,
+    "slots.ask": SlotRequest,
+    "slots.yes": SlotGrant,
+    "slots.no": SlotDenial,
+    "slots.end": SlotRelease,
+    "slots.record": RecordRequest,
+    "slots.recorded": RecordReply,
+    "slots.floor": Floors,
+    "slots.floored": FloorsReply,
+    "slots.query": SlotQuery,
+    "slots.report": SlotReport,
+    "slots.bye": Farewell,
 }
 """Every message of this package by its kind."""
 
