--- a/src/yuccafold/placement/_client.py
+++ b/src/yuccafold/placement/_client.py
@@ -66,6 +66,10 @@
         """Whether nothing is asked for or held."""
         return not self._pending and not self._held
 
+    def knows(self, number: int) -> bool:
+        """Return whether the slot ``number`` is asked for or held."""
+        return number in self._pending or number in self._held
+
     def take_outcomes(self) -> list[SlotOutcome]:
         """Return the outcomes since the last call, in order."""
         outcomes = self._outcomes
--- a/src/yuccafold/placement/_ledger.py
+++ b/src/yuccafold/placement/_ledger.py
@@ -56,7 +56,7 @@
         self._me = me
         self._incarnation = incarnation
         self._settings = settings
-        self._owner = SlotOwner(me, incarnation, settings)
+        self._owner = SlotOwner(me, incarnation, settings, now)
         self._client = SlotClient(me, incarnation, settings)
         self._given = GivenFloors(incarnation, settings)
         self._taken = TakenFloors(incarnation, settings)
@@ -64,6 +64,9 @@
         self._viewed_at = -1
         self._peers: tuple[VmId, ...] = ()
         self._listed_at = now
+        # A former process of this VM may have floors in force until then; its
+        # slots must stay counted as long, so nobody may learn of this process.
+        self._silent_until = now + settings.floor_lease_ms
         self._number = 0
         self._unrecorded: dict[int, int] = {}
 
@@ -110,6 +113,9 @@
                 f" got {ask.lifetime_ms} ms"
             )
         self._client.ask(number, ask, owner or self._me, now)
+        if now < self._silent_until:
+            self._client.refuse(number, DenialReason.NOT_READY)
+            return number, []
         if owner is None or self._is_stale:
             self._client.refuse(number, DenialReason.STALE_VIEW)
             return number, []
@@ -184,8 +190,11 @@
         for outgoing in released:
             if outgoing.to == self._me:
                 self._drop(self._me, outgoing.message)
-        floors = self._given.messages(self._client.floors(now), self._peers, now)
-        return [out for out in released if out.to != self._me] + floors
+        outgoing = [out for out in released if out.to != self._me]
+        if now < self._silent_until:
+            return outgoing
+        floors = self._client.floors(now)
+        return outgoing + self._given.messages(floors, self._peers, now)
 
     def _drop(self, holder: VmId, gone: SlotRelease) -> None:
         for number in gone.numbers:
@@ -325,6 +334,8 @@
 
     @_on.register
     def _(self, message: SlotQuery, sender: VmId, now: Milliseconds) -> list:
+        if now < self._silent_until:
+            return []
         outgoing = []
         for number in self._client.abandoned(message.targets, sender):
             outgoing += self._abandon(number, DenialReason.NOT_OWNER)
--- a/src/yuccafold/placement/_messages.py
+++ b/src/yuccafold/placement/_messages.py
@@ -145,12 +145,14 @@
 class SlotReport:
     """Answers a query with every slot that the sender knows on its targets.
 
-    ``departed`` left the sender's list of late without a farewell, and
-    ``restarted`` came back of late without their memory.
+    ``age_ms`` is how long the sender's process has run; ``departed`` left the
+    sender's list of late without a farewell, and ``restarted`` came back of
+    late without their memory.
     """
 
     incarnation: Incarnation
     round: int
+    age_ms: int
     slots: tuple[HeldSlot, ...]
     departed: tuple[VmId, ...]
     restarted: tuple[VmId, ...]
--- a/src/yuccafold/placement/_owner.py
+++ b/src/yuccafold/placement/_owner.py
@@ -58,17 +58,24 @@
     """
 
     def __init__(
-        self, me: VmId, incarnation: Incarnation, settings: LedgerSettings
+        self,
+        me: VmId,
+        incarnation: Incarnation,
+        settings: LedgerSettings,
+        now: Milliseconds,
     ) -> None:
         self._me = me
         self._settings = settings
         self._slots = SlotTable()
         self._slots.see(me, incarnation)
         self._targets = TakingTargets(settings)
-        self._losses = MemoryLoss(me, settings)
+        self._losses = MemoryLoss(me, self._slots.incarnation, settings, now)
         self._tenures: dict[TargetId, _Tenure] = {}
         self._rounds: dict[int, Takeover] = {}
         self._round = 0
+        # No shorter than a lease: a former process of this VM may have floors
+        # in force, and its slots must stay counted as long.
+        self._patience = max(settings.list_lag_ms, settings.floor_lease_ms)
         self._owners = OwnerTable(())
         self._unclaimed: set[TargetId] = set()
         self._taken_over: list[TargetId] = []
@@ -183,6 +190,7 @@
         return SlotReport(
             self._slots.incarnation(self._me),
             query.round,
+            self._losses.age(now),
             tuple(dict.fromkeys(known)),
             self._losses.departed(now),
             self._losses.restarts(now),
@@ -195,7 +203,7 @@
         takeover = self._rounds.get(report.round)
         if takeover is None:
             return []
-        for slot in takeover.on_report(sender, report):
+        for slot in takeover.on_report(sender, report, now):
             self._add(slot, now)
         self._finish(takeover, now)
         return takeover.queries(now)
@@ -209,8 +217,7 @@
         due = [
             target
             for target, tenure in self._tenures.items()
-            if tenure.phase is Phase.WAITING
-            and now - tenure.since >= self._settings.list_lag_ms
+            if tenure.phase is Phase.WAITING and now - tenure.since >= self._patience
         ]
         if due:
             self._collect(due, now)
--- a/src/yuccafold/placement/_takeover.py
+++ b/src/yuccafold/placement/_takeover.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import final
 
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import Incarnation
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold._outgoing import Outgoing
@@ -26,8 +28,16 @@
     A loss matters for as long as a slot that the VM knew may still be held.
     """
 
-    def __init__(self, me: VmId, settings: LedgerSettings) -> None:
+    def __init__(
+        self,
+        me: VmId,
+        incarnation: Callable[[VmId], Incarnation],
+        settings: LedgerSettings,
+        now: Milliseconds,
+    ) -> None:
         self._me = me
+        self._incarnation = incarnation
+        self._started = now
         self._lifetime = settings.slot_lifetime_ms + 2 * settings.list_lag_ms
         self._present: tuple[VmId, ...] = ()
         self._departed: dict[VmId, int] = {}
@@ -43,12 +53,23 @@
         """How long a loss matters, in milliseconds."""
         return self._lifetime
 
+    def age(self, now: Milliseconds) -> int:
+        """Return how long this process has run, in milliseconds."""
+        return now - self._started
+
+    def incarnation(self, vm: VmId) -> Incarnation:
+        """Return the start of the newest process seen of ``vm``, or 0."""
+        return self._incarnation(vm)
+
     def view_changed(self, vms: tuple[VmId, ...], now: Milliseconds) -> None:
         """Note who is listed and who no longer is."""
         for vm in set(self._present) - set(vms) - {self._me}:
             self._departed[vm] = now
         for vm in vms:
             self._departed.pop(vm, None)
+        if len(vms) == 1 and vms[0] != self._me:
+            # Listed alone, it had no successor that remembered its slots.
+            self._restarted[vms[0]] = now
         self._present = vms
 
     def restarted(self, vm: VmId, now: Milliseconds) -> None:
@@ -95,6 +116,7 @@
         self._asked_at: dict[VmId, int] = {}
         self._wanted = set(losses.present()) | set(losses.departed(now))
         self._replied: set[VmId] = {losses.me}
+        self._births = {losses.me: now - losses.age(now)}
         self._restarted: set[VmId] = set()
         self._second_hand: list[HeldSlot] = []
 
@@ -108,11 +130,14 @@
         """The targets taken over."""
         return self._targets
 
-    def on_report(self, sender: VmId, report: SlotReport) -> Iterable[HeldSlot]:
+    def on_report(
+        self, sender: VmId, report: SlotReport, now: Milliseconds
+    ) -> Iterable[HeldSlot]:
         """Take an answer; return the slots that the sender itself holds."""
         if sender in self._replied:
             return []
         self._replied.add(sender)
+        self._births[sender] = now - report.age_ms
         self._wanted.update(report.departed)
         self._restarted.update(report.restarted)
         self._second_hand += [slot for slot in report.slots if slot.holder != sender]
@@ -126,14 +151,36 @@
         """Return whether no held slot can have been missed."""
         if now - self._started >= self._losses.lifetime:
             return True
-        restarted = self._restarted | set(self._losses.restarts(now))
-        missing = (self._wanted - self._replied) | restarted
+        missing = self._wanted - self._replied
         if len(missing) > TOLERATED_LOSSES:
             return False
+        # Only a holder that is missing may hold a slot that its recorder forgot.
+        if any(self._forgetful(vm, now) for vm in missing):
+            return False
         # An answer on its way is worth more than the tolerance.
         waited = now - self._started
         return not missing or waited >= 2 * self._settings.answer_timeout_ms
 
+    def _forgetful(self, missing: VmId, now: Milliseconds) -> bool:
+        """Return whether a slot of ``missing`` may have been forgotten elsewhere.
+
+        A process that ran well before another one started would have heard of
+        a forerunner and would have reported a restart. A process that started
+        before ``missing`` held its first slot has forgotten none of them.
+        """
+        if self._restarted or self._losses.restarts(now):
+            return True
+        lag = self._settings.list_lag_ms
+        margin = 2 * lag + self._settings.floor_lease_ms
+        oldest = min(self._births.values())
+        first_slot = self._losses.incarnation(missing) + lag
+        return any(
+            now - birth < self._losses.lifetime
+            and birth - oldest < margin
+            and self._losses.incarnation(vm) > first_slot
+            for vm, birth in self._births.items()
+        )
+
     def queries(self, now: Milliseconds) -> list[Outgoing]:
         """Return the questions to put again to those who have not answered."""
         retry_after = self._settings.answer_timeout_ms
