Merge the platform's VM list with own failure detection

Cause: the platform's list lags, so a router needs its own view of who is alive, and of which targets take new work.

Conclusion: in the tests a stopped VM is held dead by all within 15 s of virtual time, 5 % loss and 2 s pauses bury nobody, and severed regions find each other again.

--- a/src/yuccafold/fleet/__init__.py
+++ b/src/yuccafold/fleet/__init__.py
@@ -9,8 +9,19 @@
 from yuccafold.fleet._codec import byte_class_of
 from yuccafold.fleet._codec import decode
 from yuccafold.fleet._codec import encode
+from yuccafold.fleet._membership import Membership
+from yuccafold.fleet._messages import MemberStatus
+from yuccafold.fleet._messages import TargetEvidence
 from yuccafold.fleet._registry import ByteClass
 from yuccafold.fleet._registry import register
+from yuccafold.fleet._settings import MembershipSettings
+from yuccafold.fleet._targets import TargetHealth
+from yuccafold.fleet._targets import TargetState
+from yuccafold.fleet._view import ListedVms
+from yuccafold.fleet._view import MemberChange
+from yuccafold.fleet._view import MemberEvent
+from yuccafold.fleet._view import MembershipView
+from yuccafold.fleet._view import MemberView
 from yuccafold.fleet._vm_list import ListedState
 from yuccafold.fleet._vm_list import TargetListEntry
 from yuccafold.fleet._vm_list import VmListEntry
@@ -19,13 +30,24 @@
 from yuccafold.fleet._vm_list import parse_vm_list
 
 __all__ = [
-    "MAX_MESSAGE_BYTES",
-    "PROTOCOL_VERSION",
     "ByteClass",
     "DecodeFault",
     "DecodeReason",
     "ListedState",
+    "ListedVms",
+    "MAX_MESSAGE_BYTES",
+    "MemberChange",
+    "MemberEvent",
+    "MemberStatus",
+    "MemberView",
+    "Membership",
+    "MembershipSettings",
+    "MembershipView",
+    "PROTOCOL_VERSION",
+    "TargetEvidence",
+    "TargetHealth",
     "TargetListEntry",
+    "TargetState",
     "VmListEntry",
     "VmListFault",
     "VmListSnapshot",
--- /dev/null
+++ b/testing/fleet/test_membership.py
@@ -0,0 +1,190 @@
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from yuccafold import fleet
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import Incarnation
+from yuccafold.bench._virtual_fleet import START_UNIX_MS
+from yuccafold.bench._virtual_fleet import Faults
+from yuccafold.bench._virtual_fleet import VirtualFleet
+from yuccafold.fleet._messages import Ack
+from yuccafold.fleet._messages import MemberUpdate
+from yuccafold.fleet._messages import Ping
+from yuccafold.fleet._messages import Sync
+
+ALIVE = fleet.MemberStatus.ALIVE
+DEAD = fleet.MemberStatus.DEAD
+SETTLED_MS = 10_000
+DETECTED_MS = 15_000
+
+
+def settled(size, **options):
+    virtual = VirtualFleet(size, seed=7, **options)
+    virtual.run(SETTLED_MS)
+    virtual.events.clear()
+    return virtual
+
+
+def view(virtual, vm):
+    return virtual.nodes[vm].membership.view
+
+
+def deaths(virtual):
+    changes = [event for _, event in virtual.events]
+    return [event.vm for event in changes if event.change is fleet.MemberChange.DEAD]
+
+
+def test_all_learn_each_others_incarnation():
+    virtual = settled(8)
+    for vm in virtual.vms:
+        assert view(virtual, vm).reachable == set(virtual.vms)
+        for other in virtual.vms:
+            known = view(virtual, vm).incarnation(other)
+            assert known == virtual.nodes[other].incarnation
+
+
+def test_stopped_vm_is_held_dead_by_all_and_restart_is_noticed():
+    virtual = settled(8)
+    stopped, *rest = virtual.vms
+    virtual.stop(stopped)
+    virtual.run(DETECTED_MS)
+    assert all(view(virtual, vm).members[stopped].status is DEAD for vm in rest)
+    assert set(deaths(virtual)) == {stopped}
+    virtual.start(stopped)
+    virtual.publish(to=[stopped])
+    virtual.run(DETECTED_MS)
+    incarnation = virtual.nodes[stopped].incarnation
+    for vm in rest:
+        member = view(virtual, vm).members[stopped]
+        assert member.status is ALIVE
+        assert member.incarnation == incarnation
+
+
+def test_pause_and_loss_bury_nobody():
+    virtual = settled(8, faults=Faults(loss=0.05))
+    for vm in virtual.vms:
+        virtual.pause(vm, 2_000)
+        virtual.run(7_000)
+    assert deaths(virtual) == []
+
+
+def test_paused_vm_blames_nobody():
+    virtual = settled(8)
+    sleeper = virtual.vms[0]
+    virtual.pause(sleeper, 60_000)
+    virtual.run(60_000 + DETECTED_MS)
+    assert set(deaths(virtual)) == {sleeper}
+    assert all(view(virtual, vm).members[sleeper].reachable for vm in virtual.vms)
+
+
+@pytest.mark.parametrize("cut_zones", [{"zone-0-0"}, {"zone-0-0", "zone-0-1"}])
+def test_others_stay_connected_without_a_zone(cut_zones):
+    virtual = settled(18)
+    lost = {vm for vm, node in virtual.nodes.items() if node.entry.zone in cut_zones}
+    for vm in lost:
+        virtual.stop(vm)
+    virtual.run(2 * DETECTED_MS)
+    assert set(deaths(virtual)) == lost
+    for vm in set(virtual.vms) - lost:
+        assert view(virtual, vm).reachable == set(virtual.vms) - lost
+
+
+def test_regions_that_lost_each_other_find_each_other_again():
+    virtual = settled(12)
+    region = {vm: node.entry.region for vm, node in virtual.nodes.items()}
+    virtual.faults.severed = lambda one, other: region[one] != region[other]
+    virtual.run(60_000)
+    for vm in virtual.vms:
+        own = {other for other in virtual.vms if region[other] == region[vm]}
+        assert view(virtual, vm).reachable == own
+    virtual.faults.severed = None
+    virtual.run(30_000)
+    for vm in virtual.vms:
+        assert view(virtual, vm).reachable == set(virtual.vms)
+
+
+def test_leaving_is_known_to_all_and_goodbye_ends_it():
+    virtual = settled(6)
+    leaver, *rest = virtual.vms
+    virtual.nodes[leaver].membership.announce_leaving()
+    virtual.run(5_000)
+    assert all(view(virtual, vm).members[leaver].leaving for vm in rest)
+    virtual.send(leaver, virtual.nodes[leaver].membership.goodbye())
+    virtual.stop(leaver)
+    virtual.run(1_500)
+    assert leaver in deaths(virtual)
+
+
+def test_vm_that_is_not_listed_is_seen_while_it_makes_contact():
+    virtual = settled(6)
+    newcomer, *rest = virtual.vms
+    shorter = virtual.snapshot(without=[newcomer])
+    for vm in rest:
+        now = Milliseconds(virtual.now)
+        virtual.nodes[vm].membership.take_list(shorter, now)
+    virtual.run(SETTLED_MS)
+    partner = virtual.nodes[newcomer].membership.partners[0]
+    assert newcomer in view(virtual, partner).reachable
+    assert newcomer not in view(virtual, partner).listed
+    virtual.stop(newcomer)
+    virtual.run(20_000)
+    assert all(newcomer not in view(virtual, vm).reachable for vm in rest)
+
+
+def alone():
+    entries = VirtualFleet(3, seed=1).snapshot().vms
+    membership = fleet.Membership(
+        fleet.MembershipSettings(),
+        entries[0],
+        Incarnation(START_UNIX_MS),
+        Milliseconds(0),
+        random.Random(1),
+    )
+    membership.take_list(fleet.VmListSnapshot(5, entries), Milliseconds(0))
+    return membership, entries
+
+
+def test_process_whose_id_was_taken_over_is_told():
+    membership, entries = alone()
+    later = Incarnation(START_UNIX_MS + 5)
+    rumour = MemberUpdate(entries[0].id, later, 0, ALIVE, False)
+    membership.handle(entries[1].id, Sync((rumour,)), Milliseconds(10))
+    assert membership.superseded_by == later
+
+
+def test_implausible_and_impersonated_news_is_refused():
+    membership, entries = alone()
+    one, other = entries[1].id, entries[2].id
+    future = Incarnation(START_UNIX_MS + 10**9)
+    update = MemberUpdate(one, future, 0, DEAD, False)
+    membership.handle(other, Sync((update,)), Milliseconds(10))
+    ping = Ping(1, replace(update, incarnation=Incarnation(1)), 0, (), ())
+    assert membership.handle(other, ping, Milliseconds(10)) == []
+    assert membership.refused == 2
+    assert one in membership.view.reachable
+
+
+def test_suspicion_of_itself_is_contradicted():
+    membership, entries = alone()
+    peer = entries[1].id
+    about_me = MemberUpdate(entries[0].id, Incarnation(START_UNIX_MS), 3, DEAD, False)
+    sender = MemberUpdate(peer, Incarnation(START_UNIX_MS), 0, ALIVE, False)
+    ping = Ping(9, sender, 0, (about_me,), ())
+    ack = membership.handle(peer, ping, Milliseconds(10))[0].message
+    assert isinstance(ack, Ack)
+    assert ack.sender.refutation == 4
+    assert ack.sender.status is ALIVE
+
+
+def test_older_list_is_ignored_unless_it_persists():
+    membership, entries = alone()
+    older = fleet.VmListSnapshot(4, entries[:1])
+    membership.take_list(older, Milliseconds(10))
+    assert len(membership.view.listed) == 3
+    membership.take_list(older, Milliseconds(30_010))
+    assert len(membership.view.listed) == 1
+    assert [listed.version for listed in membership.view.lists] == [5, 4]
--- /dev/null
+++ b/testing/fleet/test_targets.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import pytest
+
+from yuccafold import fleet
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import TargetId
+from yuccafold.fleet import TargetEvidence
+from yuccafold.fleet import TargetState
+from yuccafold.fleet._messages import TargetReport
+
+TARGET = TargetId("engine-1")
+AT = Milliseconds(100_000)
+LIFE_MS = fleet.MembershipSettings().target_report_ms
+
+
+@pytest.fixture
+def health():
+    return fleet.TargetHealth(fleet.MembershipSettings())
+
+
+def later(duration):
+    return Milliseconds(AT + duration)
+
+
+def listing(version, state):
+    targets = (fleet.TargetListEntry(TARGET, state),)
+    return fleet.VmListSnapshot(version, (), targets)
+
+
+@pytest.mark.parametrize(
+    ("evidence", "state"),
+    [
+        (TargetEvidence.DRAINING, TargetState.DRAINING),
+        (TargetEvidence.UNREACHABLE, TargetState.GONE),
+        (TargetEvidence.PLATFORM_LEAVING, TargetState.DRAINING),
+        (TargetEvidence.ACCEPTING, TargetState.LIVE),
+        (TargetEvidence.ANSWERED, TargetState.LIVE),
+    ],
+)
+def test_report_counts_until_it_lapses(health, evidence, state):
+    health.take(TargetReport(TARGET, evidence, 1_000, 1), AT)
+    assert health.state(TARGET, AT) is state
+    assert health.state(TARGET, later(LIFE_MS - 1_000)) is TargetState.LIVE
+
+
+@pytest.mark.parametrize(
+    ("report", "own", "state"),
+    [
+        (TargetEvidence.UNREACHABLE, TargetEvidence.ANSWERED, TargetState.LIVE),
+        (TargetEvidence.DRAINING, TargetEvidence.ANSWERED, TargetState.DRAINING),
+        (TargetEvidence.DRAINING, TargetEvidence.ACCEPTING, TargetState.LIVE),
+    ],
+)
+def test_own_later_evidence_contradicts(health, report, own, state):
+    health.observe(TARGET, own, AT)
+    health.take(TargetReport(TARGET, report, 1_000, 0), AT)
+    assert health.state(TARGET, AT) is state
+    health.take(TargetReport(TARGET, report, 0, 0), later(20_000))
+    assert health.state(TARGET, later(20_000)) is not TargetState.LIVE
+
+
+def test_newer_list_decides_over_reports_of_an_older_one(health):
+    report = TargetReport(TARGET, TargetEvidence.PLATFORM_LEAVING, 0, 7)
+    health.take_list(listing(6, fleet.ListedState.LIVE), AT)
+    health.take(report, AT)
+    assert health.state(TARGET, AT) is TargetState.DRAINING
+    health.take_list(listing(8, fleet.ListedState.LIVE), AT)
+    assert health.state(TARGET, AT) is TargetState.LIVE
+
+
+def test_what_the_platform_lists_is_passed_on_and_repeated(health):
+    health.take_list(listing(3, fleet.ListedState.LEAVING), AT)
+    expected = TargetReport(TARGET, TargetEvidence.PLATFORM_LEAVING, 0, 3)
+    assert health.take_news(4, 8, AT) == (expected,)
+    assert health.not_live(later(60_000)) == {TARGET: TargetState.DRAINING}
+
+
+def test_same_report_of_many_observers_travels_once(health):
+    report = TargetReport(TARGET, TargetEvidence.UNREACHABLE, 0, 0)
+    sent = 0
+    for step in range(400):
+        health.take(report, later(step))
+        sent += len(health.take_news(4, 380, later(step)))
+    assert sent < 40
+
+
+def test_circulating_report_ends(health):
+    other = fleet.TargetHealth(fleet.MembershipSettings())
+    health.observe(TARGET, TargetEvidence.UNREACHABLE, AT)
+    for step in range(0, 3 * LIFE_MS, 100):
+        now = later(step)
+        for one, peer in ((health, other), (other, health)):
+            for report in one.take_news(4, 380, now):
+                peer.take(report, now)
+    assert health.not_live(later(LIFE_MS)) == {}
+    assert other.not_live(later(LIFE_MS)) == {}
