Link VMs over WebSocket with mutual TLS

Cause: decisions of the fleet need messages between VMs that survive silent connections, wrong certificates and certificate rotation.

Change: PeerNetwork opens links on demand, batches messages into frames, bounds each peer's queue and the VM's bytes by class, replaces links that go silent, reads changed certificate files and counts what it refuses or drops.

Conclusion: over real loopback TLS sockets the tests show a wrong authority and a wrong VM refused, a rotation to another authority without a lost message, and a silent link replaced.

--- a/src/yuccafold/fleet/__init__.py
+++ b/src/yuccafold/fleet/__init__.py
@@ -9,12 +9,23 @@
 from yuccafold.fleet._codec import byte_class_of
 from yuccafold.fleet._codec import decode
 from yuccafold.fleet._codec import encode
+from yuccafold.fleet._link_settings import LinkSettings
 from yuccafold.fleet._membership import Membership
 from yuccafold.fleet._messages import MemberStatus
 from yuccafold.fleet._messages import TargetEvidence
+from yuccafold.fleet._network import PeerNetwork
+from yuccafold.fleet._network_types import NetworkError
+from yuccafold.fleet._network_types import PeerAddress
+from yuccafold.fleet._network_types import Received
+from yuccafold.fleet._outbox import DropCause
 from yuccafold.fleet._registry import ByteClass
 from yuccafold.fleet._registry import register
 from yuccafold.fleet._settings import MembershipSettings
+from yuccafold.fleet._stats import ByteCounts
+from yuccafold.fleet._stats import Counters
+from yuccafold.fleet._stats import DropCount
+from yuccafold.fleet._stats import NetworkStats
+from yuccafold.fleet._stats import PeerStats
 from yuccafold.fleet._targets import TargetHealth
 from yuccafold.fleet._targets import TargetState
 from yuccafold.fleet._view import ListedVms
@@ -31,8 +42,13 @@
 
 __all__ = [
     "ByteClass",
+    "ByteCounts",
+    "Counters",
     "DecodeFault",
     "DecodeReason",
+    "DropCause",
+    "DropCount",
+    "LinkSettings",
     "ListedState",
     "ListedVms",
     "MAX_MESSAGE_BYTES",
@@ -43,7 +59,13 @@
     "Membership",
     "MembershipSettings",
     "MembershipView",
+    "NetworkError",
+    "NetworkStats",
     "PROTOCOL_VERSION",
+    "PeerAddress",
+    "PeerNetwork",
+    "PeerStats",
+    "Received",
     "TargetEvidence",
     "TargetHealth",
     "TargetListEntry",
--- /dev/null
+++ b/src/yuccafold/fleet/_stats.py
@@ -0,0 +1,93 @@
+"""What the links count."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import final
+
+from yuccafold._ids import VmId
+from yuccafold.fleet._outbox import DropCause
+from yuccafold.fleet._registry import ByteClass
+
+
+@final
+@dataclass(slots=True)
+class ByteCounts:
+    """Bytes of messages by class, and all bytes of the connections.
+
+    The wire's bytes include TLS and WebSocket framing and the handshakes, and
+    leave out TCP and IP headers.
+    """
+
+    sent: Counter[ByteClass] = field(default_factory=Counter)
+    received: Counter[ByteClass] = field(default_factory=Counter)
+    wire_sent: int = 0
+    wire_received: int = 0
+
+    def add_messages(self, part: ByteCounts) -> None:
+        """Add the messages of ``part``."""
+        self.sent.update(part.sent)
+        self.received.update(part.received)
+
+    def add_wire(self, part: ByteCounts) -> None:
+        """Add the wire's bytes of ``part``."""
+        self.wire_sent += part.wire_sent
+        self.wire_received += part.wire_received
+
+
+@final
+@dataclass(slots=True)
+class Counters:
+    """Events of the links since the process started."""
+
+    frames_sent: int = 0
+    messages_sent: int = 0
+    messages_received: int = 0
+    malformed: int = 0
+    too_large: int = 0
+    from_newer: int = 0
+    """Messages skipped because their version, kind or a value is unknown."""
+    skipped_fields: int = 0
+    unauthenticated: int = 0
+    opened: int = 0
+    accepted: int = 0
+    connect_failures: int = 0
+    replaced_silent: int = 0
+    refused_over_limit: int = 0
+    tls_reloads: int = 0
+    tls_reload_failures: int = 0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class DropCount:
+    """How many messages of one class were dropped for one cause."""
+
+    byte_class: ByteClass
+    cause: DropCause
+    messages: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PeerStats:
+    """One peer's links."""
+
+    vm: VmId
+    links: int
+    queued_bytes: int
+    bytes: ByteCounts
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class NetworkStats:
+    """A copy of all counts at one moment."""
+
+    total: ByteCounts
+    counters: Counters
+    dropped: tuple[DropCount, ...]
+    peers: Mapping[VmId, PeerStats]
--- /dev/null
+++ b/testing/fleet/test_network.py
@@ -0,0 +1,270 @@
+from __future__ import annotations
+
+import contextlib
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+
+import cbor2
+import pytest
+import trio
+import trustme
+from websockets.exceptions import ConnectionClosed
+from websockets.trio.client import connect
+
+from fleet import network_fixture as fixture
+from yuccafold import fleet
+from yuccafold._ids import Incarnation
+from yuccafold._ids import VmId
+from yuccafold._outgoing import Outgoing
+from yuccafold.fleet._codec import MAX_FRAME_BYTES
+from yuccafold.fleet._codec import encode_frame
+from yuccafold.fleet._messages import Hello
+from yuccafold.fleet._tls import load_contexts
+
+Vm = fixture.Vm
+run = fixture.run
+start = fixture.start
+
+
+@dataclass(frozen=True, slots=True)
+class Large:
+    body: bytes
+
+
+fleet.register("test-large", Large)
+
+
+@pytest.fixture
+def keys(tmp_path):
+    return fixture.Keys(tmp_path)
+
+
+def pair(keys, links=None):
+    return [Vm(name, keys.write(name), links) for name in ("a", "b")]
+
+
+def test_messages_pass_both_ways_over_one_link(keys):
+    async def scenario(nursery):
+        one, other = pair(keys)
+        await start(nursery, one, other)
+        one.say(other, 1)
+        one.say(other, 2)
+        assert await other.hear() == ("a", 1)
+        assert await other.hear() == ("a", 2)
+        other.say(one, 3)
+        assert await one.hear() == ("b", 3)
+        assert (one.counters.opened, other.counters.opened) == (1, 0)
+        assert one.counters.frames_sent == 1
+        stats = one.network.stats()
+        sent = stats.peers[other.id].bytes.sent[fleet.ByteClass.MEMBERSHIP]
+        assert 0 < sent < stats.total.wire_sent
+
+    run(scenario)
+
+
+def test_plain_links_need_no_files():
+    async def scenario(nursery):
+        one, other = Vm("a", None), Vm("b", None)
+        await start(nursery, one, other)
+        one.say(other, 1)
+        assert await other.hear() == ("a", 1)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("stranger_dials", [True, False])
+def test_peer_of_another_authority_is_refused_and_counted(keys, stranger_dials):
+    async def scenario(nursery):
+        stranger = Vm("x", keys.write("x", ca=trustme.CA(), trusted=[keys.ca]))
+        member = Vm("m", keys.write("m"))
+        await start(nursery, stranger, member)
+        dials, to = (stranger, member) if stranger_dials else (member, stranger)
+        dials.say(to, 1)
+        await member.wait_for(lambda counters: counters.unauthenticated > 0)
+        assert member.network.stats().peers[stranger.id].links == 0
+        assert member.received.statistics().current_buffer_used == 0
+
+    run(scenario)
+
+
+def test_certificate_of_another_vm_is_refused(keys):
+    async def scenario(nursery):
+        impostor = Vm("b", keys.write("c"))
+        member = Vm("a", keys.write("a"))
+        await start(nursery, member, impostor)
+        impostor.say(member, 1)
+        await member.wait_for(lambda counters: counters.unauthenticated > 0)
+        member.say(impostor, 2)
+        await member.wait_for(lambda counters: counters.connect_failures > 0)
+        assert member.counters.accepted == 0
+        assert member.counters.opened == 0
+
+    run(scenario)
+
+
+def test_plain_connection_is_refused_by_tls(keys):
+    async def scenario(nursery):
+        plain, member = Vm("a", None), Vm("b", keys.write("b"))
+        await start(nursery, plain, member)
+        plain.say(member, 1)
+        await member.wait_for(lambda counters: counters.unauthenticated > 0)
+        assert member.counters.accepted == 0
+
+    run(scenario)
+
+
+def test_certificates_rotate_to_another_authority_without_a_gap(keys):
+    links = fleet.LinkSettings(
+        tls_check_ms=20, retire_spread_ms=50, retire_grace_ms=200
+    )
+
+    async def scenario(nursery):
+        one, other = pair(keys, links)
+        await start(nursery, one, other)
+        one.say(other, 0)
+        assert await other.hear() == ("a", 0)
+        old, new = keys.ca, trustme.CA()
+        steps = [(old, [new]), (new, [old]), (new, [])]
+        sent = 0
+        for step, (ca, trusted) in enumerate(steps, start=1):
+            for vm in (one, other):
+                keys.write(vm.id, ca=ca, trusted=trusted)
+            while not all(vm.counters.tls_reloads >= step for vm in (one, other)):
+                sent += 1
+                one.say(other, sent)
+                assert await other.hear() == ("a", sent)
+                await trio.sleep(0.01)
+            for _ in range(40):
+                sent += 1
+                one.say(other, sent)
+                assert await other.hear() == ("a", sent)
+                await trio.sleep(0.01)
+        assert one.counters.opened + other.counters.opened > 1
+        assert one.network.stats().dropped == ()
+
+    run(scenario)
+
+
+def test_files_that_do_not_fit_together_leave_the_old_in_use(keys):
+    links = fleet.LinkSettings(tls_check_ms=20)
+
+    async def scenario(nursery):
+        one, other = pair(keys, links)
+        await start(nursery, one, other)
+        files = keys.write("a")
+        Path(files.key).write_bytes(b"half a key")
+        await one.wait_for(lambda counters: counters.tls_reload_failures > 0)
+        one.say(other, 1)
+        assert await other.hear() == ("a", 1)
+
+    run(scenario)
+
+
+def test_link_that_goes_silent_is_replaced(keys):
+    links = fleet.LinkSettings(ping_after_ms=50, ping_timeout_ms=200)
+
+    async def scenario(nursery):
+        one, other = pair(keys, links)
+        await start(nursery, one, other)
+        relay = fixture.Relay(other.network.address)
+        one.knows(other, through=await nursery.start(relay.run))
+        one.say(other, 1)
+        assert await other.hear() == ("a", 1)
+        relay.silence_open_connections()
+        await one.say_until_heard(other, 2)
+        assert one.counters.replaced_silent == 1
+        assert len(relay.connections) == 2
+
+    run(scenario)
+
+
+async def speak_raw(vm, keys, frames):
+    """Open a link by hand and send ``frames`` after a valid greeting."""
+    context = load_contexts(keys.write("raw")).unwrap().client
+    uri = f"wss://{vm.network.address}/"
+    async with connect(uri, ssl=context, proxy=None, compression=None) as raw:
+        await raw.send(encode_frame([fleet.encode(Hello(VmId("raw"), Incarnation(1)))]))
+        for frame in frames:
+            await raw.send(frame)
+        await vm.wait_for(lambda counters: counters.accepted == 1)
+        with contextlib.suppress(ConnectionClosed):
+            await raw.recv()
+
+
+def test_malformed_input_is_counted_and_too_much_closes_the_link(keys):
+    limit = fleet.LinkSettings().malformed_limit
+
+    async def scenario(nursery):
+        vm = Vm("a", keys.write("a"))
+        await start(nursery, vm)
+        newer = cbor2.dumps([[9, "later", []], [1, "later", []]])
+        frames = [newer] + [b"\xff\x00"] * (limit + 1)
+        await speak_raw(vm, keys, frames)
+        assert vm.counters.malformed == limit + 1
+        assert vm.counters.from_newer == 2
+
+    run(scenario)
+
+
+def test_frame_over_the_limit_closes_the_link(keys):
+    async def scenario(nursery):
+        vm = Vm("a", keys.write("a"))
+        await start(nursery, vm)
+        await speak_raw(vm, keys, [bytes(MAX_FRAME_BYTES + 1)])
+        await vm.wait_for(lambda counters: counters.too_large == 1)
+
+    run(scenario)
+
+
+def test_what_cannot_be_sent_is_counted(keys):
+    async def scenario(nursery):
+        one, other = pair(keys)
+        await start(nursery, one)
+        await start(nursery, other)
+        one.say(other, 1)
+        one.knows(other, through="127.0.0.1:1")
+        one.network.send(Outgoing(other.id, Large(bytes(100_000))))
+        one.say(other, 2)
+        await one.wait_for(lambda counters: counters.connect_failures > 0)
+        causes = {drop.cause for drop in one.network.stats().dropped}
+        assert causes == {
+            fleet.DropCause.UNKNOWN_PEER,
+            fleet.DropCause.TOO_LARGE,
+            fleet.DropCause.UNREACHABLE,
+        }
+
+    run(scenario)
+
+
+def test_full_inbox_drops_and_counts(keys):
+    async def scenario(nursery):
+        one = Vm("a", keys.write("a"))
+        other = Vm("b", keys.write("b"), inbox_size=1)
+        await start(nursery, one, other)
+        for number in range(3):
+            one.say(other, number)
+        await other.wait_for(lambda counters: counters.messages_received == 3)
+        (drop,) = other.network.stats().dropped
+        assert (drop.cause, drop.messages) == (fleet.DropCause.INBOX_FULL, 2)
+
+    run(scenario)
+
+
+def test_unusable_files_are_an_error_at_start(keys):
+    files = keys.write("a")
+    Path(files.certificate).write_text("none")
+
+    async def scenario(nursery):
+        await Vm("a", files).network.run()
+
+    with pytest.raises(ExceptionGroup) as raised:
+        run(scenario)
+    assert raised.group_contains(fleet.NetworkError)
+
+
+def test_peers_accept_nothing_below_tls_1_3(keys):
+    contexts = load_contexts(keys.write("a")).unwrap()
+    assert contexts.server.minimum_version is ssl.TLSVersion.TLSv1_3
+    assert contexts.server.verify_mode is ssl.CERT_REQUIRED
+    assert contexts.client.verify_mode is ssl.CERT_REQUIRED
