Distribute settings between VMs, and read YAML from events

Cause: settings must be in force on every VM, also where only one can read the service, and must never go back; whole trees do not fit the byte budget. Change: a replica object that accepts a revision whole or refuses it whole, passes changes to a few partners, fetches whole trees in chunks within a budget, and says whether a starting VM may serve. Two contents of one number are ordered by digest, so that every VM ends with the same one. YAML is read from parser events: no recursion, and anchors, aliases and tags are refused. Conclusion: a state machine over six replicas with loss, reordering, stale reads, restarts, partitions and pauses converges in 60 examples of 30 steps.

--- /dev/null
+++ b/src/yuccafold/replica/_heard.py
@@ -0,0 +1,98 @@
+"""Which revisions other VMs were heard to hold."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import final
+
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import Incarnation
+from yuccafold._ids import RevisionNumber
+from yuccafold._ids import VmId
+from yuccafold.replica._messages import HeardRevision
+from yuccafold.replica._messages import SettingsAdvert
+from yuccafold.replica._options import ReplicaOptions
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PeerRevision:
+    """The latest that is known of one VM, as of ``heard_at``."""
+
+    vm: VmId
+    incarnation: Incarnation
+    number: RevisionNumber
+    ready: bool
+    heard_at: Milliseconds
+
+    @property
+    def rank(self) -> tuple[int, int, bool]:
+        """The order of what one VM says of itself; it never goes back."""
+        return self.incarnation, self.number, self.ready
+
+
+@final
+class HeardTable:
+    """The revisions of other VMs, from their adverts and from hearsay."""
+
+    def __init__(self, vm: VmId, options: ReplicaOptions, rng: random.Random) -> None:
+        self._vm = vm
+        self._options = options
+        self._rng = rng
+        self._peers: dict[VmId, PeerRevision] = {}
+
+    def peers(self, now: Milliseconds) -> tuple[PeerRevision, ...]:
+        """Return what is known of each VM heard of lately, by name."""
+        oldest = now - self._options.heard_lifetime_ms
+        self._peers = {
+            vm: peer for vm, peer in self._peers.items() if peer.heard_at >= oldest
+        }
+        return tuple(self._peers[vm] for vm in sorted(self._peers))
+
+    def take(self, sender: VmId, advert: SettingsAdvert, now: Milliseconds) -> None:
+        """Learn from an advert."""
+        for peer in _told(sender, advert, now):
+            self._merge(peer)
+
+    def _merge(self, peer: PeerRevision) -> None:
+        if peer.vm == self._vm:
+            return
+        known = self._peers.get(peer.vm)
+        if known is None or peer.rank >= known.rank:
+            newer = known is None or peer.rank > known.rank
+            if newer or peer.heard_at > known.heard_at:
+                self._peers[peer.vm] = peer
+
+    def sample(
+        self, number: RevisionNumber, count: int, now: Milliseconds
+    ) -> tuple[HeardRevision, ...]:
+        """Return some of what is known: half of those that lag, then any."""
+        peers = list(self.peers(now))
+        self._rng.shuffle(peers)
+        lagging = [peer for peer in peers if peer.number < number or not peer.ready]
+        first = lagging[: count // 2]
+        rest = [peer for peer in peers if peer not in first]
+        return tuple(
+            HeardRevision(
+                peer.vm,
+                peer.incarnation,
+                peer.number,
+                peer.ready,
+                now - peer.heard_at,
+            )
+            for peer in (first + rest)[:count]
+        )
+
+
+def _told(
+    sender: VmId, advert: SettingsAdvert, now: Milliseconds
+) -> Iterator[PeerRevision]:
+    number = advert.revision.number
+    yield PeerRevision(sender, advert.incarnation, number, advert.ready, now)
+    for heard in advert.others:
+        heard_at = Milliseconds(now - max(0, heard.age_ms))
+        yield PeerRevision(
+            heard.vm, heard.incarnation, heard.number, heard.ready, heard_at
+        )
--- /dev/null
+++ b/src/yuccafold/replica/_log.py
@@ -0,0 +1,52 @@
+"""The latest changes, for VMs that are a few revisions behind."""
+
+from __future__ import annotations
+
+from collections import deque
+from itertools import accumulate
+from itertools import takewhile
+from typing import final
+
+from yuccafold.replica._messages import RevisionId
+from yuccafold.replica._messages import SettingsChange
+from yuccafold.replica._options import ReplicaOptions
+
+
+@final
+class ChangeLog:
+    """A bounded chain of changes; each one's base is the revision before it."""
+
+    def __init__(self, options: ReplicaOptions) -> None:
+        self._options = options
+        self._changes: deque[SettingsChange] = deque()
+        self._bytes = 0
+
+    def append(self, change: SettingsChange) -> None:
+        """Add the change that led to the revision in force."""
+        if self._changes and self._changes[-1].revision != change.base:
+            self.clear()
+        self._changes.append(change)
+        self._bytes += len(change.patch)
+        while (
+            len(self._changes) > self._options.log_entries
+            or self._bytes > self._options.log_bytes
+        ):
+            self._bytes -= len(self._changes.popleft().patch)
+
+    def clear(self) -> None:
+        """Forget every change; the chain was broken."""
+        self._changes.clear()
+        self._bytes = 0
+
+    def after(self, have: RevisionId) -> tuple[SettingsChange, ...]:
+        """Return the changes that follow ``have``, within one reply's bytes.
+
+        The result is empty when the chain does not reach back so far.
+        """
+        bases = [change.base for change in self._changes]
+        if have not in bases:
+            return ()
+        following = list(self._changes)[bases.index(have) :]
+        sizes = accumulate(len(change.patch) for change in following)
+        within = list(takewhile(lambda size: size <= self._options.reply_bytes, sizes))
+        return tuple(following[: max(1, len(within))])
--- /dev/null
+++ b/src/yuccafold/replica/_revision.py
@@ -0,0 +1,118 @@
+"""One accepted revision, and the rule by which a revision is accepted."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+from typing import final
+
+import xxhash
+from result import Err
+from result import Ok
+from result import Result
+
+from yuccafold._ids import RevisionNumber
+from yuccafold.replica._messages import NO_REVISION
+from yuccafold.replica._messages import RevisionId
+from yuccafold.replica._messages import SettingsChange
+from yuccafold.replica._patch import PatchError
+from yuccafold.replica._patch import apply
+from yuccafold.replica._patch import difference
+from yuccafold.replica._patch import pack
+from yuccafold.replica._patch import unpack
+from yuccafold.settings import SettingsFault
+from yuccafold.settings import SettingsTree
+from yuccafold.settings import canonical_bytes
+from yuccafold.settings import check_tree
+from yuccafold.settings import check_tree_value
+from yuccafold.settings import read_text
+
+
+class Outcome(Enum):
+    """What became of an offered revision."""
+
+    ACCEPTED = "accepted"
+    SAME = "same"
+    STALE = "stale"
+    """Its number is below the one in force."""
+    CONFLICT = "conflict"
+    """Another content of the number in force; the greater digest stays."""
+    REFUSED = "refused"
+    """It has faults."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Revision:
+    """A checked settings tree; ``canonical`` is the JSON that ``id`` digests."""
+
+    id: RevisionId
+    tree: SettingsTree
+    canonical: bytes
+
+
+def read_revision(text: str) -> Result[Revision, list[SettingsFault]]:
+    """Return the revision that a YAML text holds, or all its faults."""
+    document = read_text(text)
+    if isinstance(document, Err):
+        return document
+    checked = check_tree(document.ok_value)
+    if isinstance(checked, Err):
+        return checked
+    return Ok(_revision(checked.ok_value, canonical_bytes(document.ok_value.value)))
+
+
+def restore_revision(canonical: bytes) -> Result[Revision, list[SettingsFault]]:
+    """Return the revision that a peer's canonical JSON holds, or all its faults."""
+    try:
+        value = json.loads(canonical)
+    except (ValueError, RecursionError) as error:
+        return Err([SettingsFault("", 0, f"not JSON: {error}")])
+    return _checked_value(value)
+
+
+def changed_revision(
+    base: Revision, change: SettingsChange
+) -> Result[Revision, list[SettingsFault]]:
+    """Return ``base`` with ``change`` applied, or all faults of the result."""
+    try:
+        value = apply(json.loads(base.canonical), unpack(change.patch))
+    except PatchError as error:
+        return Err([SettingsFault("", 0, str(error))])
+    return _checked_value(value)
+
+
+def change_between(base: Revision, revision: Revision) -> SettingsChange:
+    """Return the change that turns ``base`` into ``revision``."""
+    steps = difference(json.loads(base.canonical), json.loads(revision.canonical))
+    return SettingsChange(base.id, revision.id, pack(steps))
+
+
+def judge(in_force: RevisionId, offered: RevisionId) -> Outcome:
+    """Return what becomes of a faultless revision; the same on every VM."""
+    if offered == in_force:
+        return Outcome.SAME
+    if offered.number < in_force.number:
+        return Outcome.STALE
+    if offered.number == in_force.number and offered.rank < in_force.rank:
+        return Outcome.CONFLICT
+    return Outcome.ACCEPTED
+
+
+def id_of(revision: Revision | None) -> RevisionId:
+    """Return the id of ``revision``; that of none is below all others."""
+    return NO_REVISION if revision is None else revision.id
+
+
+def _checked_value(value: Any) -> Result[Revision, list[SettingsFault]]:
+    checked = check_tree_value(value)
+    if isinstance(checked, Err):
+        return checked
+    return Ok(_revision(checked.ok_value, canonical_bytes(value)))
+
+
+def _revision(tree: SettingsTree, canonical: bytes) -> Revision:
+    digest = xxhash.xxh3_64_digest(canonical)
+    return Revision(RevisionId(RevisionNumber(tree.revision), digest), tree, canonical)
--- /dev/null
+++ b/src/yuccafold/replica/_status.py
@@ -0,0 +1,81 @@
+"""What operators are shown about settings on one VM and as heard of the fleet."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from functools import cached_property
+from typing import final
+
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import RevisionNumber
+from yuccafold._ids import VmId
+from yuccafold.replica._heard import PeerRevision
+from yuccafold.replica._readiness import Readiness
+from yuccafold.settings import SettingsFault
+
+
+class Source(Enum):
+    """Where a revision came from."""
+
+    SERVICE = "service"
+    PEER = "peer"
+
+
+@final
+@dataclass(slots=True)
+class ReplicaCounts:
+    """How often each unusual thing happened since the process started."""
+
+    stale: int = 0
+    conflicts: int = 0
+    refused: int = 0
+    malformed: int = 0
+    unknown: int = 0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RefusedOffer:
+    """The last text or change that was refused, from where, and why."""
+
+    source: Source
+    sender: VmId | None
+    at: Milliseconds
+    faults: tuple[SettingsFault, ...]
+
+
+@final
+@dataclass(frozen=True)
+class SettingsStatus:
+    """The answer to ``yuccafold settings status``; instants are of ``now``'s clock."""
+
+    vm: VmId
+    now: Milliseconds
+    number: RevisionNumber
+    digest: str
+    source: Source | None
+    since: Milliseconds
+    readiness: Readiness
+    service_answered_at: Milliseconds | None
+    counts: ReplicaCounts
+    refused: RefusedOffer | None
+    peers: tuple[PeerRevision, ...]
+
+    @cached_property
+    def vms_by_revision(self) -> dict[RevisionNumber, int]:
+        """How many VMs, this one included, hold each revision."""
+        numbers = [self.number, *(peer.number for peer in self.peers)]
+        return dict(sorted(Counter(numbers).items()))
+
+    @property
+    def newest(self) -> RevisionNumber:
+        """The newest revision heard of anywhere."""
+        return max(self.vms_by_revision)
+
+    @property
+    def lagging(self) -> tuple[VmId, ...]:
+        """The VMs that are below the newest revision, as last heard."""
+        behind = tuple(peer.vm for peer in self.peers if peer.number < self.newest)
+        return behind if self.number == self.newest else (self.vm, *behind)
--- a/src/yuccafold/settings/__init__.py
+++ b/src/yuccafold/settings/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from yuccafold.settings._document import MAX_TREE_BYTES
+from yuccafold.settings._document import Document
 from yuccafold.settings._policy import Policy
 from yuccafold.settings._policy import PolicyOverride
 from yuccafold.settings._process import ClaimSettings
@@ -9,6 +11,8 @@
 from yuccafold.settings._process import ProcessSettings
 from yuccafold.settings._process import TelemetrySettings
 from yuccafold.settings._process import TlsFiles
+from yuccafold.settings._references import check_tree
+from yuccafold.settings._references import check_tree_value
 from yuccafold.settings._references import find_faults
 from yuccafold.settings._references import parse_tree
 from yuccafold.settings._tree import Account
@@ -21,9 +25,13 @@
 from yuccafold.settings._tree import SettingsTree
 from yuccafold.settings._tree import Target
 from yuccafold.settings._yaml import SettingsFault
+from yuccafold.settings._yaml import canonical_bytes
 from yuccafold.settings._yaml import parse
+from yuccafold.settings._yaml import read_text
 
 __all__ = [
+    "MAX_TREE_BYTES",
+    "Document",
     "Account",
     "ClaimSettings",
     "EngineTraits",
@@ -41,7 +49,11 @@
     "Target",
     "TelemetrySettings",
     "TlsFiles",
+    "canonical_bytes",
+    "check_tree",
+    "check_tree_value",
     "find_faults",
     "parse",
     "parse_tree",
+    "read_text",
 ]
--- a/src/yuccafold/settings/_references.py
+++ b/src/yuccafold/settings/_references.py
@@ -4,35 +4,57 @@
 
 from collections.abc import Iterator
 from itertools import chain
+from typing import Any
 
 from result import Err
 from result import Ok
 from result import Result
 
+from yuccafold.settings._document import Document
+from yuccafold.settings._document import LineIndex
+from yuccafold.settings._document import Path
 from yuccafold.settings._tree import SettingsTree
-from yuccafold.settings._yaml import Path
 from yuccafold.settings._yaml import SettingsFault
-from yuccafold.settings._yaml import dotted
-from yuccafold.settings._yaml import line_of
-from yuccafold.settings._yaml import parse
+from yuccafold.settings._yaml import check
+from yuccafold.settings._yaml import check_value
+from yuccafold.settings._yaml import fault_at
+from yuccafold.settings._yaml import read_text
 
 Finding = tuple[Path, str]
 
 
 def parse_tree(text: str) -> Result[SettingsTree, list[SettingsFault]]:
     """Return the settings tree that ``text`` holds, or all its faults."""
-    parsed = parse(text, SettingsTree)
-    if isinstance(parsed, Err):
-        return parsed
-    findings = list(find_faults(parsed.ok_value))
-    if findings:
-        return Err(
-            [
-                SettingsFault(dotted(path), line_of(text, path), reason)
-                for path, reason in findings
-            ]
-        )
-    return Ok(parsed.ok_value)
+    document = read_text(text)
+    if isinstance(document, Err):
+        return document
+    return check_tree(document.ok_value)
+
+
+def check_tree(document: Document) -> Result[SettingsTree, list[SettingsFault]]:
+    """Return the settings tree that ``document`` holds, or all its faults."""
+    return _referring(check(document, SettingsTree), document.lines)
+
+
+def check_tree_value(value: Any) -> Result[SettingsTree, list[SettingsFault]]:
+    """Return the settings tree that a JSON value holds, or all its faults.
+
+    The rules are those of ``check_tree``; the faults have no lines.
+    """
+    lines = LineIndex(None)
+    return _referring(check_value(value, lines, SettingsTree), lines)
+
+
+def _referring(
+    checked: Result[SettingsTree, list[SettingsFault]], lines: LineIndex
+) -> Result[SettingsTree, list[SettingsFault]]:
+    """Refuse a tree that is sound value by value but not as a whole."""
+    if isinstance(checked, Err):
+        return checked
+    faults = [
+        fault_at(path, reason, lines) for path, reason in find_faults(checked.ok_value)
+    ]
+    return Err(faults) if faults else Ok(checked.ok_value)
 
 
 def find_faults(tree: SettingsTree) -> Iterator[Finding]:
--- a/src/yuccafold/settings/_yaml.py
+++ b/src/yuccafold/settings/_yaml.py
@@ -9,129 +9,126 @@
 from typing import TypeVar
 from typing import final
 
-import yaml
 from pydantic import ValidationError
 from result import Err
 from result import Ok
 from result import Result
 
 from yuccafold.settings._base import SettingsModel
+from yuccafold.settings._document import MAX_TREE_BYTES
+from yuccafold.settings._document import Document
+from yuccafold.settings._document import DocumentFault
+from yuccafold.settings._document import LineIndex
+from yuccafold.settings._document import Path
+from yuccafold.settings._document import read_document
 
 Model = TypeVar("Model", bound=SettingsModel)
-Path = tuple[str | int, ...]
 
-MAX_TREE_BYTES = 1_048_576
-"""The largest value of the platform's settings service."""
+MAX_SHOWN_CHARACTERS = 80
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class SettingsFault:
-    """One reason why settings were refused; ``line`` counts from 1."""
+    """One reason why settings were refused.
+
+    ``line`` counts from 1; it is 0 where the settings came without their text.
+    """
 
     path: str
     line: int
     reason: str
 
     def __str__(self) -> str:
-        return f"line {self.line}: {self.path or '(document)'}: {self.reason}"
-
-
-class _Loader(yaml.SafeLoader):
-    """A safe loader that refuses doubled keys."""
+        place = f"line {self.line}: " if self.line else ""
+        return f"{place}{self.path or '(document)'}: {self.reason}"
 
 
 def parse(text: str, model: type[Model]) -> Result[Model, list[SettingsFault]]:
     """Return the settings object that ``text`` holds, or all its faults."""
-    if len(text.encode()) > MAX_TREE_BYTES:
-        reason = f"expected at most {MAX_TREE_BYTES} bytes, got {len(text.encode())}"
-        return Err([SettingsFault("", 1, reason)])
+    document = read_text(text)
+    if isinstance(document, Err):
+        return document
+    return check(document.ok_value, model)
+
+
+def read_text(text: str) -> Result[Document, list[SettingsFault]]:
+    """Return the document that ``text`` holds, or the fault that ended reading."""
     try:
-        node = yaml.compose(text, Loader=_Loader)
-        value = yaml.load(text, Loader=_Loader)
-    except yaml.YAMLError as error:
-        return Err([_syntax_fault(error)])
-    except (ValueError, RecursionError) as error:
-        return Err([SettingsFault("", 1, f"not readable as YAML: {error}")])
-    if node is None:
-        return Err([SettingsFault("", 1, "expected a mapping, got an empty document")])
-    lines = dict(_lines(node, ()))
-    doubled = list(_doubled(node, ()))
+        size = len(text.encode())
+    except UnicodeEncodeError as error:
+        return Err([SettingsFault("", 1, f"not YAML: {error}")])
+    if size > MAX_TREE_BYTES:
+        reason = f"expected at most {MAX_TREE_BYTES} bytes, got {size}"
+        return Err([SettingsFault("", 1, reason)])
+    document = read_document(text)
+    if isinstance(document, Err):
+        return Err([_located(document.err_value)])
+    return document
+
+
+def check(document: Document, model: type[Model]) -> Result[Model, list[SettingsFault]]:
+    """Return the settings object that ``document`` holds, or all its faults."""
+    found = [_located(fault) for fault in document.faults]
+    checked = check_value(document.value, document.lines, model)
+    if isinstance(checked, Ok):
+        return Err(found) if found else checked
+    known = {fault.path for fault in found}
+    further = [fault for fault in checked.err_value if fault.path not in known]
+    return Err(found + further)
+
+
+def check_value(
+    value: Any, lines: LineIndex, model: type[Model]
+) -> Result[Model, list[SettingsFault]]:
+    """Return the settings object that a JSON value holds, or all its faults."""
     try:
         # JSON mode is strict, but takes a list where a tuple is wanted.
-        settings = model.model_validate_json(_as_json(value))
+        return Ok(model.model_validate_json(canonical_bytes(value)))
     except ValidationError as error:
-        return Err(doubled + [_fault(entry, lines) for entry in error.errors()])
-    except (TypeError, ValueError) as error:
-        return Err([*doubled, SettingsFault("", 1, f"not expressible: {error}")])
-    return Err(doubled) if doubled else Ok(settings)
+        return Err(list(_faults(error, lines)))
+    except (ValueError, RecursionError) as error:
+        return Err([fault_at((), f"not expressible as JSON: {error}", lines)])
 
 
-def line_of(text: str, path: Path) -> int:
-    """Return the line in ``text`` of the deepest part of ``path`` that exists."""
-    return _line(dict(_lines(yaml.compose(text, Loader=_Loader), ())), path)
+def canonical_bytes(value: Any) -> bytes:
+    """Return a JSON value in the one form that equal values share."""
+    return json.dumps(
+        value,
+        allow_nan=False,
+        ensure_ascii=False,
+        separators=(",", ":"),
+        sort_keys=True,
+    ).encode()
 
 
-def _as_json(value: Any) -> bytes:
-    """Return a YAML value as JSON; a value that JSON lacks is a ``TypeError``."""
-    return json.dumps(value, allow_nan=False).encode()
+def dotted(path: Path) -> str:
+    """Return ``path`` in the form that operators read."""
+    return ".".join(str(part) for part in path)
 
 
-def _syntax_fault(error: yaml.YAMLError) -> SettingsFault:
-    """Return the fault of a text that is no YAML."""
-    mark = getattr(error, "problem_mark", None)
-    problem = getattr(error, "problem", None) or str(error)
-    return SettingsFault("", mark.line + 1 if mark else 1, f"not YAML: {problem}")
+def fault_at(path: Path, reason: str, lines: LineIndex) -> SettingsFault:
+    """Return the fault of the value at ``path``."""
+    return SettingsFault(dotted(path), lines.line(path), reason)
 
 
-def _fault(entry: Any, lines: dict[Path, int]) -> SettingsFault:
-    """Return one fault of a validation error."""
-    path = tuple(entry["loc"])
-    reason = entry["msg"]
-    if entry["type"] == "extra_forbidden":
-        reason = "unknown key"
-    elif entry["type"] != "missing":
-        reason = f"{reason}, got {entry['input']!r:.80}"
-    return SettingsFault(dotted(path), _line(lines, path), reason)
+def _located(fault: DocumentFault) -> SettingsFault:
+    return SettingsFault(dotted(fault.path), fault.line, fault.reason)
 
 
-def dotted(path: Path) -> str:
-    """Return ``path`` in the form that operators read."""
-    return ".".join(str(part) for part in path)
+def _faults(error: ValidationError, lines: LineIndex) -> Iterator[SettingsFault]:
+    """Yield the faults of a validation error."""
+    for entry in error.errors(include_url=False):
+        # A key that is no name is reported below the key, as "[key]".
+        path = tuple(part for part in entry["loc"] if part != "[key]")
+        reason = entry["msg"]
+        if entry["type"] == "extra_forbidden":
+            reason = "unknown key"
+        elif entry["type"] != "missing":
+            reason = f"{reason}, got {shown(entry['input'])}"
+        yield fault_at(path, reason, lines)
 
 
-def _line(lines: dict[Path, int], path: Path) -> int:
-    """Return the line of the deepest part of ``path`` that the text holds."""
-    known = (
-        lines[path[:end]] for end in range(len(path), -1, -1) if path[:end] in lines
-    )
-    return next(known, 1)
-
-
-def _lines(node: yaml.Node, path: Path) -> Iterator[tuple[Path, int]]:
-    """Yield the path and line of every value below ``node``."""
-    yield path, node.start_mark.line + 1
-    if isinstance(node, yaml.MappingNode):
-        for key, value in node.value:
-            yield from _lines(value, (*path, key.value))
-            yield (*path, key.value), key.start_mark.line + 1
-    elif isinstance(node, yaml.SequenceNode):
-        for index, value in enumerate(node.value):
-            yield from _lines(value, (*path, index))
-
-
-def _doubled(node: yaml.Node, path: Path) -> Iterator[SettingsFault]:
-    """Yield a fault for every key that one mapping holds twice."""
-    if isinstance(node, yaml.SequenceNode):
-        for index, value in enumerate(node.value):
-            yield from _doubled(value, (*path, index))
-    if not isinstance(node, yaml.MappingNode):
-        return
-    seen: set[str] = set()
-    for key, value in node.value:
-        here = (*path, key.value)
-        if key.value in seen:
-            line = key.start_mark.line + 1
-            yield SettingsFault(dotted(here), line, "key given twice")
-        seen.add(key.value)
-        yield from _doubled(value, here)
+def shown(value: Any) -> str:
+    """Return the beginning of ``value`` for a message."""
+    return f"{value!r:.{MAX_SHOWN_CHARACTERS}}"
--- /dev/null
+++ b/testing/replica/test_replica.py
@@ -0,0 +1,219 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import rule
+
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import Incarnation
+from yuccafold._ids import VmId
+from yuccafold.bench._settings_world import SettingsWorld
+from yuccafold.replica import Outcome
+from yuccafold.replica import Readiness
+from yuccafold.replica import ReplicaOptions
+from yuccafold.replica import RevisionId
+from yuccafold.replica import SettingsAdvert
+from yuccafold.replica import SettingsChange
+from yuccafold.replica import SettingsReplica
+
+VMS = tuple(VmId(f"vm-{number}") for number in range(6))
+NOW = Milliseconds(0)
+SMALL_CHUNKS = ReplicaOptions(chunk_bytes=64, log_entries=2, push_limit_bytes=90)
+
+
+def tree(revision, attempts=3, accounts=4):
+    names = "".join(f"  account-{n}: {{}}\n" for n in range(accounts))
+    return (
+        f"revision: {revision}\ndefaults: {{max_attempts: {attempts}}}\n"
+        f"accounts:\n{names}"
+    )
+
+
+def replica(vm="vm-0"):
+    return SettingsReplica(
+        VmId(vm), Incarnation(1), ReplicaOptions(), random.Random(1), NOW
+    )
+
+
+def advert(revision, *, ready=True):
+    return SettingsAdvert(Incarnation(1), revision, ready, ())
+
+
+def test_refused_text_leaves_the_last_accepted_in_force():
+    node = replica()
+    assert node.offer(tree(1), NOW).outcome is Outcome.ACCEPTED
+    result = node.offer(tree(2, attempts=99), NOW)
+    assert result.outcome is Outcome.REFUSED
+    assert [(f.path, f.line) for f in result.faults] == [("defaults.max_attempts", 2)]
+    assert node.revision.number == 1
+    assert node.status(NOW).refused.faults == result.faults
+
+
+def test_older_text_is_stale():
+    node = replica()
+    node.offer(tree(5), NOW)
+    assert node.offer(tree(4), NOW).outcome is Outcome.STALE
+    assert node.revision.number == 5
+    assert node.status(NOW).counts.stale == 1
+
+
+def test_two_contents_of_one_number_end_alike_in_either_order():
+    ends = set()
+    for order in ((2, 4), (4, 2)):
+        node = replica()
+        outcomes = [node.offer(tree(1, attempts), NOW).outcome for attempts in order]
+        assert outcomes[1] in (Outcome.ACCEPTED, Outcome.CONFLICT)
+        assert node.status(NOW).counts.conflicts == 1
+        ends.add(node.revision)
+    assert len(ends) == 1
+
+
+def test_change_whose_result_is_not_as_said_is_dropped():
+    node = replica()
+    node.set_partners((VmId("vm-1"),))
+    node.offer(tree(1), NOW)
+    wrong = SettingsChange(node.revision, RevisionId(2, b"12345678"), b"no patch")
+    node.handle(VmId("vm-1"), wrong, NOW)
+    assert node.revision.number == 1
+    assert node.status(NOW).counts.refused == 1
+
+
+def test_starting_vm_waits_for_newest_revision_of_a_serving_peer():
+    node = replica()
+    assert node.readiness(NOW) is Readiness.NO_VM_LIST
+    node.set_listed(frozenset(VMS))
+    node.offer(tree(1), NOW)
+    assert node.readiness(NOW) is Readiness.WAITING_FOR_PEERS
+    node.handle(VMS[1], advert(RevisionId(2, b"x" * 8)), NOW)
+    assert node.readiness(NOW) is Readiness.CATCHING_UP
+    node.offer(tree(3), NOW)
+    assert node.readiness(NOW) is Readiness.READY
+
+
+def test_idle_peers_let_a_vm_start_only_when_all_are_known():
+    node = replica()
+    node.set_listed(frozenset(VMS[:3]))
+    node.offer(tree(1), NOW)
+    node.handle(VMS[1], advert(node.revision, ready=False), NOW)
+    assert node.readiness(NOW) is Readiness.WAITING_FOR_PEERS
+    node.handle(VMS[2], advert(node.revision, ready=False), NOW)
+    assert node.readiness(NOW) is Readiness.READY
+
+
+def test_only_vm_of_the_list_needs_the_service_alone():
+    node = replica()
+    node.set_listed(frozenset(VMS[:1]))
+    assert node.readiness(NOW) is Readiness.NO_REVISION
+    node.offer(tree(1), NOW)
+    assert node.readiness(NOW) is Readiness.READY
+
+
+def test_woken_vm_renews_its_view_first():
+    node = replica()
+    node.set_listed(frozenset(VMS))
+    node.offer(tree(1), NOW)
+    node.handle(VMS[1], advert(node.revision), NOW)
+    assert node.readiness(NOW) is Readiness.READY
+    node.paused()
+    assert node.readiness(NOW) is Readiness.RENEWING
+    node.handle(VMS[1], advert(node.revision), NOW)
+    assert node.readiness(NOW) is Readiness.READY
+
+
+def test_fleet_starts_together_and_a_late_vm_gets_the_tree_in_chunks():
+    world = SettingsWorld(VMS, 2, seed=1, options=SMALL_CHUNKS)
+    for vm in VMS:
+        world.offer(vm, tree(1))
+    world.advance(10_000)
+    now = world.clock.now()
+    assert {r.readiness(now) for r in world.replicas.values()} == {Readiness.READY}
+    world.restart(VMS[3])
+    world.advance(5_000)
+    assert world.replicas[VMS[3]].revision == world.replicas[VMS[0]].revision
+    assert world.replicas[VMS[3]].readiness(world.clock.now()) is Readiness.READY
+
+
+def test_status_names_those_that_lag():
+    world = SettingsWorld(VMS, 4, seed=1)
+    for vm in VMS:
+        world.offer(vm, tree(1))
+    world.advance(3_000)
+    world.stop(VMS[2])
+    world.offer(VMS[0], tree(2))
+    world.advance(20_000)
+    status = world.replicas[VMS[5]].status(world.clock.now())
+    assert status.vms_by_revision == {1: 1, 2: 5}
+    assert status.lagging == (VMS[2],)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Readers of a stale and faulty service on a lossy, parted network."""
+
+    vms = st.sampled_from(VMS)
+
+    def __init__(self):
+        super().__init__()
+        self.world = SettingsWorld(VMS, 4, seed=7, options=SMALL_CHUNKS)
+        self.texts = [tree(1)]
+        self.newest = 0
+
+    @rule(
+        attempts=st.integers(1, 11),
+        accounts=st.integers(0, 30),
+        conflicting=st.booleans(),
+    )
+    def publish(self, attempts, accounts, conflicting):
+        step = 0 if conflicting else 1
+        self.texts.append(tree(len(self.texts) + step, attempts, accounts))
+
+    @rule(vm=vms, age=st.integers(0, 3))
+    def read_service(self, vm, age):
+        result = self.world.offer(vm, self.texts[max(0, len(self.texts) - 1 - age)])
+        assert (result.outcome is Outcome.REFUSED) == bool(result.faults)
+
+    @rule(ms=st.integers(1, 5_000))
+    def pass_time(self, ms):
+        self.world.advance(ms)
+
+    @rule(loss=st.sampled_from([0.0, 0.3, 0.9]), jitter=st.sampled_from([0, 3_000]))
+    def degrade(self, loss, jitter):
+        self.world.links.loss = loss
+        self.world.links.doubling = loss / 2
+        self.world.links.jitter_ms = jitter
+
+    @rule(side=st.sets(vms))
+    def part(self, side):
+        others = set(VMS) - side
+        self.world.links.cut = {frozenset((a, b)) for a in side for b in others}
+
+    @rule(vm=vms)
+    def restart(self, vm):
+        self.world.stopped.discard(vm)
+        self.world.restart(vm)
+
+    @rule(vm=vms)
+    def stop(self, vm):
+        self.world.stop(vm)
+
+    @rule(vm=vms)
+    def resume(self, vm):
+        if vm in self.world.stopped:
+            self.world.resume(vm)
+
+    def teardown(self):
+        links = self.world.links
+        links.loss = links.doubling = links.jitter_ms = 0
+        links.cut = set()
+        for vm in VMS:
+            self.resume(vm)
+        replicas = self.world.replicas.values()
+        newest = max((node.revision for node in replicas), key=lambda r: r.rank)
+        self.world.advance(60_000)
+        assert {node.revision for node in self.world.replicas.values()} == {newest}
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
