Read the platform, and show and compare settings

Cause: VMs must read settings and the VM list within the service's call rate, and operators must see which level a value comes from. Change: one pacer for watching, slow polling and backoff with jitter; a small HTTP client with timeouts and a size limit; only a few VMs watch the settings service. settings show and diff, with JSON and exit codes. Merged policies are kept per service and account instead of merged for each call. A revision fits 31 bits. Orders state a least serving share and a drain limit; a target states its role.

--- a/src/yuccafold/replica/__init__.py
+++ b/src/yuccafold/replica/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from yuccafold.replica._heard import PeerRevision
-from yuccafold.replica._messages import MESSAGES
 from yuccafold.replica._messages import NO_REVISION
 from yuccafold.replica._messages import HeardRevision
 from yuccafold.replica._messages import RevisionId
@@ -13,6 +12,7 @@
 from yuccafold.replica._messages import SettingsChunkWant
 from yuccafold.replica._messages import SettingsTreeOffer
 from yuccafold.replica._messages import SettingsWant
+from yuccafold.replica._messages import register_messages
 from yuccafold.replica._options import ReplicaOptions
 from yuccafold.replica._readiness import Readiness
 from yuccafold.replica._readiness import ReadinessFacts
@@ -29,7 +29,6 @@
 from yuccafold.replica._status import Source
 
 __all__ = [
-    "MESSAGES",
     "NO_REVISION",
     "HeardRevision",
     "OfferResult",
@@ -54,4 +53,5 @@
     "judge",
     "read_revision",
     "readiness",
+    "register_messages",
 ]
--- a/src/yuccafold/replica/_messages.py
+++ b/src/yuccafold/replica/_messages.py
@@ -8,6 +8,7 @@
 from yuccafold._ids import Incarnation
 from yuccafold._ids import RevisionNumber
 from yuccafold._ids import VmId
+from yuccafold.fleet import register
 
 
 @final
@@ -104,12 +105,11 @@
     data: bytes
 
 
-MESSAGES = {
-    "settings-advert": SettingsAdvert,
-    "settings-want": SettingsWant,
-    "settings-change": SettingsChange,
-    "settings-tree-offer": SettingsTreeOffer,
-    "settings-chunk-want": SettingsChunkWant,
-    "settings-chunk": SettingsChunk,
-}
-"""The messages by the kind under which the peer codec carries them."""
+def register_messages() -> None:
+    """Make the messages known to the peer codec."""
+    register("settings.advert", SettingsAdvert)
+    register("settings.want", SettingsWant)
+    register("settings.change", SettingsChange)
+    register("settings.offer", SettingsTreeOffer)
+    register("settings.chunk-want", SettingsChunkWant)
+    register("settings.chunk", SettingsChunk)
--- a/src/yuccafold/settings/__init__.py
+++ b/src/yuccafold/settings/__init__.py
@@ -4,6 +4,10 @@
 
 from yuccafold.settings._document import MAX_TREE_BYTES
 from yuccafold.settings._document import Document
+from yuccafold.settings._explain import Difference
+from yuccafold.settings._explain import PolicyOrigin
+from yuccafold.settings._explain import explain_policy
+from yuccafold.settings._explain import tree_differences
 from yuccafold.settings._policy import Policy
 from yuccafold.settings._policy import PolicyOverride
 from yuccafold.settings._process import ClaimSettings
@@ -15,7 +19,9 @@
 from yuccafold.settings._references import check_tree_value
 from yuccafold.settings._references import find_faults
 from yuccafold.settings._references import parse_tree
+from yuccafold.settings._tree import MAX_REVISION
 from yuccafold.settings._tree import Account
+from yuccafold.settings._tree import EngineRole
 from yuccafold.settings._tree import EngineTraits
 from yuccafold.settings._tree import Orders
 from yuccafold.settings._tree import Route
@@ -30,14 +36,18 @@
 from yuccafold.settings._yaml import read_text
 
 __all__ = [
-    "MAX_TREE_BYTES",
-    "Document",
     "Account",
     "ClaimSettings",
+    "Difference",
+    "Document",
+    "EngineRole",
     "EngineTraits",
+    "MAX_REVISION",
+    "MAX_TREE_BYTES",
     "Orders",
     "PlatformSettings",
     "Policy",
+    "PolicyOrigin",
     "PolicyOverride",
     "ProcessSettings",
     "Route",
@@ -52,8 +62,10 @@
     "canonical_bytes",
     "check_tree",
     "check_tree_value",
+    "explain_policy",
     "find_faults",
     "parse",
     "parse_tree",
     "read_text",
+    "tree_differences",
 ]
--- a/src/yuccafold/settings/_document.py
+++ b/src/yuccafold/settings/_document.py
@@ -202,7 +202,7 @@
     def _key(self, path: Path, event: yaml.ScalarEvent) -> None:
         top = self._stack[-1]
         here = (*path, event.value)
-        if not isinstance(self._resolved(here, event), str):
+        if event.implicit[0] and self._kind(event) != "str":
             reason = f"expected text as a key, got {event.value!r:.80}; quote it"
             self.faults.append(DocumentFault(here, _line(event), reason))
         if event.value in top.seen:
@@ -226,17 +226,26 @@
             top.value[top.key] = value
             top.key = None
 
+    @staticmethod
+    def _kind(event: yaml.ScalarEvent) -> str:
+        """Return the YAML type of a plain scalar."""
+        tag = _RESOLVER.resolve(yaml.ScalarNode, event.value, (True, False))
+        return tag.removeprefix(_TAG)
+
     def _resolved(self, path: Path, event: yaml.ScalarEvent) -> Any:
         """Return the JSON value of a scalar; a fault stands for any other."""
         if not event.implicit[0]:
             return event.value
-        tag = _RESOLVER.resolve(yaml.ScalarNode, event.value, (True, False))
-        kind = tag.removeprefix(_TAG)
+        kind = self._kind(event)
         if kind == "str":
             return event.value
         construct = _SCALARS.get(kind)
         try:
-            value = construct(yaml.ScalarNode(tag, event.value)) if construct else None
+            value = (
+                construct(yaml.ScalarNode(_TAG + kind, event.value))
+                if construct
+                else None
+            )
         except (ValueError, IndexError):
             construct = None
         if construct is None or (isinstance(value, float) and not isfinite(value)):
--- a/src/yuccafold/settings/_tree.py
+++ b/src/yuccafold/settings/_tree.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from enum import Enum
 from functools import cached_property
 from typing import Annotated
@@ -15,6 +16,7 @@
 from yuccafold._ids import TargetId
 from yuccafold._ids import ZoneId
 from yuccafold.settings._base import SettingsModel
+from yuccafold.settings._policy import Duration
 from yuccafold.settings._policy import Policy
 from yuccafold.settings._policy import PolicyMerger
 from yuccafold.settings._policy import PolicyOverride
@@ -28,6 +30,16 @@
 """The SHA-256 of a client account's bearer key, in hexadecimal."""
 
 
+MAX_REVISION = 2_147_483_647
+"""A revision fits 31 bits, so that a fencing number of it fits 63."""
+
+
+MAX_KEPT_POLICIES = 4_096
+"""How many merged policies one tree keeps."""
+
+EngineRole = Literal["both", "prefill", "decode"]
+
+
 class ServiceKind(Enum):
     """What a service's targets are."""
 
@@ -44,6 +56,7 @@
     zone: Name
     capacity: Annotated[float, Field(gt=0.0, le=1_000.0, strict=False)] = 1.0
     draining: bool = False
+    role: EngineRole = "both"
 
 
 @final
@@ -75,6 +88,11 @@
     version: Name
     adapters: tuple[Name, ...] = ()
     weight_loads_per_minute: Annotated[int, Field(ge=1, le=10_000)] = 2
+    """The weight store's rate; the least one of all services holds for the fleet."""
+    min_serving_share: Annotated[float, Field(ge=0.0, le=1.0, strict=False)] = 0.5
+    """The share of the engines that go on serving while others are changed."""
+    drain_limit_ms: Duration = 60_000
+    """How long an engine may finish its work before its model is replaced."""
 
 
 @final
@@ -137,7 +155,7 @@
 class SettingsTree(SettingsModel):
     """One revision of everything that operators set for the fleet."""
 
-    revision: Annotated[int, Field(ge=1)]
+    revision: Annotated[int, Field(ge=1, le=MAX_REVISION)]
     defaults: PolicyOverride = PolicyOverride()
     services: dict[Name, Service] = {}
     accounts: dict[Name, Account] = {}
@@ -155,23 +173,36 @@
         """Return the account whose key has the SHA-256 ``digest``, if any."""
         return self._accounts_by_key.get(digest)
 
+    @cached_property
+    def _policies_in_force(self) -> dict[tuple[ServiceId, AccountId], Policy]:
+        return {}
+
     def policy_for(self, service: ServiceId, account: AccountId) -> Policy:
-        """Return the policy in force; later levels override earlier ones.
+        """Return the policy in force; later levels override earlier ones."""
+        known = self._policies_in_force.get((service, account))
+        if known is not None:
+            return known
+        overrides = (override for _, override in self.policy_levels(service, account))
+        policy = PolicyMerger(Policy()).merge(*overrides)
+        if len(self._policies_in_force) >= MAX_KEPT_POLICIES:
+            self._policies_in_force.clear()
+        self._policies_in_force[service, account] = policy
+        return policy
+
+    def policy_levels(
+        self, service: ServiceId, account: AccountId
+    ) -> Iterator[tuple[str, SettingsModel]]:
+        """Yield the path and overrides of each level, the most general first.
 
         The levels are the defaults, the service, the client account and the
         matching routing policies by name.
         """
-        matching = [
-            self.policies[name].policy
-            for name in sorted(self.policies)
-            if self.policies[name].matches(service, account)
-        ]
-        return PolicyMerger(Policy()).merge(
-            self.defaults,
-            self.services[service].policy,
-            self.accounts[account].policy,
-            *matching,
-        )
+        yield "defaults", self.defaults
+        yield f"services.{service}", self.services[service].policy
+        yield f"accounts.{account}", self.accounts[account].policy
+        for name in sorted(self.policies):
+            if self.policies[name].matches(service, account):
+                yield f"policies.{name}", self.policies[name].policy
 
     def target(self, service: ServiceId, target: TargetId) -> Target | None:
         """Return a target of ``service`` by its id, if it is listed."""
--- /dev/null
+++ b/testing/platform/test_http.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import pytest
+import trio
+
+from yuccafold.platform import HttpLimits
+from yuccafold.platform import HttpRequest
+from yuccafold.platform import call
+
+LIMITS = HttpLimits(answer_timeout_ms=300, max_body_bytes=1_000)
+
+
+def answer_to(reply, *, stays_open=False):
+    """Call a server that sends ``reply`` once it was asked."""
+
+    async def serve(stream):
+        await stream.receive_some(10_000)
+        await stream.send_all(reply)
+        if stays_open:
+            await trio.sleep_forever()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(
+                lambda task_status: trio.serve_tcp(
+                    serve, 0, host="127.0.0.1", task_status=task_status
+                )
+            )
+            port = listeners[0].socket.getsockname()[1]
+            called = await call(HttpRequest(f"127.0.0.1:{port}", "/x"), LIMITS)
+            nursery.cancel_scope.cancel()
+        return called
+
+    return trio.run(main)
+
+
+def test_whole_answer():
+    reply = b"HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length: 2\r\n\r\nhi"
+    response = answer_to(reply).unwrap()
+    assert (response.status, response.body) == (200, b"hi")
+    assert response.headers["revision"] == "7"
+
+
+@pytest.mark.parametrize(
+    ("reply", "reason"),
+    [
+        pytest.param(b"", "closed|malformed", id="nothing"),
+        pytest.param(b"nonsense\r\n\r\n", "malformed", id="no-http"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", "malformed", id="cut"
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + b"x" * 1001,
+            "at most 1000 bytes",
+            id="large",
+        ),
+    ],
+)
+def test_unusable_answer_is_a_fault(reply, reason):
+    fault = answer_to(reply).unwrap_err()
+    assert any(part in fault.reason for part in reason.split("|")), fault
+
+
+def test_silent_server_times_out():
+    fault = answer_to(b"HTTP/1.1 200 OK\r\n", stays_open=True).unwrap_err()
+    assert "no whole answer" in fault.reason
+
+
+def test_closed_port_is_a_fault():
+    async def main():
+        listener = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener[0].socket.getsockname()[1]
+        await listener[0].aclose()
+        return await call(HttpRequest(f"127.0.0.1:{port}", "/"), LIMITS)
+
+    assert "cannot connect" in trio.run(main).unwrap_err().reason
