Tell a malformed change from a refused revision

Cause: a damaged change of one peer was remembered as a refusal, so that the VM would not take the same revision from another peer. Change: the digest is checked first; what does not match is malformed and asked for whole, and only a tree that this release refuses is remembered.

--- a/src/yuccafold/replica/_replica.py
+++ b/src/yuccafold/replica/_replica.py
@@ -11,6 +11,7 @@
 from typing import final
 
 from result import Err
+from result import Ok
 from result import Result
 
 from yuccafold._clock import Milliseconds
@@ -31,6 +32,8 @@
 from yuccafold.replica._readiness import Readiness
 from yuccafold.replica._readiness import ReadinessFacts
 from yuccafold.replica._readiness import readiness
+from yuccafold.replica._refusals import Refusals
+from yuccafold.replica._revision import Malformed
 from yuccafold.replica._revision import Outcome
 from yuccafold.replica._revision import Revision
 from yuccafold.replica._revision import change_between
@@ -39,16 +42,12 @@
 from yuccafold.replica._revision import judge
 from yuccafold.replica._revision import read_revision
 from yuccafold.replica._revision import restore_revision
-from yuccafold.replica._status import RefusedOffer
-from yuccafold.replica._status import ReplicaCounts
 from yuccafold.replica._status import SettingsStatus
 from yuccafold.replica._status import Source
 from yuccafold.replica._transfer import TreeFetch
 from yuccafold.replica._transfer import TreeSender
 from yuccafold.settings import SettingsFault
 
-MAX_REMEMBERED_REFUSALS = 64
-
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -108,9 +107,7 @@
         self._advert_due = now
         self._next_partner = 0
         self._replied: dict[VmId, Milliseconds] = {}
-        self._refusals: dict[RevisionId, None] = {}
-        self._refused: RefusedOffer | None = None
-        self._counts = ReplicaCounts()
+        self._refusals = Refusals()
 
     @property
     def in_force(self) -> Revision | None:
@@ -154,8 +151,8 @@
             self._since,
             self.readiness(now),
             self._service_answered_at,
-            self._counts,
-            self._refused,
+            self._refusals.counts,
+            self._refusals.last,
             self._heard.peers(now),
         )
 
@@ -186,7 +183,7 @@
         self.service_answered(now)
         read = read_revision(text)
         if isinstance(read, Err):
-            self._refuse(Source.SERVICE, None, read.err_value, now)
+            self._refusals.refuse(read.err_value, now)
             return OfferResult(Outcome.REFUSED, tuple(read.err_value), [])
         outcome = self._judge(read.ok_value.id)
         if outcome is not Outcome.ACCEPTED:
@@ -229,7 +226,7 @@
 
     @singledispatchmethod
     def _take(self, message: Any, sender: VmId, now: Milliseconds) -> list[Outgoing]:
-        self._counts.unknown += 1
+        self._refusals.counts.unknown += 1
         return []
 
     @_take.register
@@ -276,6 +273,8 @@
         if not self._is_wanted(message.revision):
             self._judge(message.revision)
             return []
+        if message.base in self._refusals:
+            return self._want(sender, now, NO_REVISION)
         if self._in_force is None or message.base != self.revision:
             return self._want(sender, now)
         self._wanted_at = None
@@ -289,7 +288,7 @@
         if not self._is_wanted(message.revision):
             return []
         if not 0 < message.size <= self._options.max_tree_bytes:
-            self._counts.malformed += 1
+            self._refusals.counts.malformed += 1
             return []
         if self._fetch is None or self._fetch.is_abandoned:
             self._fetch = TreeFetch(message.revision, message.size, self._options)
@@ -315,7 +314,7 @@
             return self._fetch_more(now)
         revision = self._fetch.revision
         self._fetch = None
-        restored = restore_revision(whole)
+        restored = restore_revision(whole, revision)
         return self._take_revision(restored, revision, sender, None, now)
 
     def _fetch_more(self, now: Milliseconds) -> list[Outgoing]:
@@ -328,58 +327,43 @@
 
     def _take_revision(
         self,
-        read: Result[Revision, list[SettingsFault]],
+        read: Result[Revision, Malformed | list[SettingsFault]],
         expected: RevisionId,
         sender: VmId,
         change: SettingsChange | None,
         now: Milliseconds,
     ) -> list[Outgoing]:
         """Take what a peer sent if it is sound and is what it was said to be."""
-        if isinstance(read, Err):
-            self._refuse(Source.PEER, sender, read.err_value, now)
-            self._remember_refusal(expected)
-            return []
-        if read.ok_value.id != expected:
-            self._counts.malformed += 1
+        if isinstance(read, Ok):
+            if self._judge(expected) is not Outcome.ACCEPTED:
+                return []
+            return self._install(read.ok_value, Source.PEER, sender, now, change)
+        if isinstance(read.err_value, Malformed):
+            self._refusals.counts.malformed += 1
             return [Outgoing(sender, SettingsWant(NO_REVISION))]
-        if self._judge(expected) is not Outcome.ACCEPTED:
-            return []
-        return self._install(read.ok_value, Source.PEER, sender, now, change)
+        self._refusals.refuse_from(sender, expected, read.err_value, now)
+        return []
 
-    def _want(self, sender: VmId, now: Milliseconds) -> list[Outgoing]:
+    def _want(
+        self, sender: VmId, now: Milliseconds, have: RevisionId | None = None
+    ) -> list[Outgoing]:
         """Ask ``sender`` for what is missing, unless another was asked just now."""
         asked = self._wanted_at
         if asked is not None and now - asked < self._options.want_timeout_ms:
             return []
         self._wanted_at = now
-        return [Outgoing(sender, SettingsWant(self.revision))]
+        return [Outgoing(sender, SettingsWant(have or self.revision))]
 
     def _judge(self, offered: RevisionId) -> Outcome:
         outcome = judge(self.revision, offered)
         same_number = offered.number == self.revision.number
-        self._counts.stale += outcome is Outcome.STALE
-        self._counts.conflicts += same_number and outcome is not Outcome.SAME
+        self._refusals.counts.stale += outcome is Outcome.STALE
+        self._refusals.counts.conflicts += same_number and outcome is not Outcome.SAME
         return outcome
 
     def _is_wanted(self, revision: RevisionId) -> bool:
         return revision.rank > self.revision.rank and revision not in self._refusals
 
-    def _refuse(
-        self,
-        source: Source,
-        sender: VmId | None,
-        faults: list[SettingsFault],
-        now: Milliseconds,
-    ) -> None:
-        self._counts.refused += 1
-        self._refused = RefusedOffer(source, sender, now, tuple(faults))
-
-    def _remember_refusal(self, revision: RevisionId) -> None:
-        """Do not fetch ``revision`` again."""
-        self._refusals[revision] = None
-        while len(self._refusals) > MAX_REMEMBERED_REFUSALS:
-            del self._refusals[next(iter(self._refusals))]
-
     def _recently_told(self, now: Milliseconds) -> list[_Told]:
         oldest = now - self._options.direct_lifetime_ms
         self._told = {vm: told for vm, told in self._told.items() if told.at >= oldest}
--- a/src/yuccafold/replica/_revision.py
+++ b/src/yuccafold/replica/_revision.py
@@ -5,7 +5,6 @@
 import json
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
 from typing import final
 
 import xxhash
@@ -43,6 +42,14 @@
     """It has faults."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """What a peer sent is not what it said; another peer may send it whole."""
+
+    reason: str
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Revision:
@@ -64,24 +71,39 @@
     return Ok(_revision(checked.ok_value, canonical_bytes(document.ok_value.value)))
 
 
-def restore_revision(canonical: bytes) -> Result[Revision, list[SettingsFault]]:
-    """Return the revision that a peer's canonical JSON holds, or all its faults."""
+def restore_revision(
+    canonical: bytes, expected: RevisionId
+) -> Result[Revision, Malformed | list[SettingsFault]]:
+    """Return the revision that a peer's canonical JSON holds.
+
+    It is malformed unless it is ``expected``; a tree that is, and that this
+    release refuses, comes back as its faults.
+    """
+    if xxhash.xxh3_64_digest(canonical) != expected.digest:
+        return Err(Malformed(f"expected the digest {expected.digest.hex()}"))
     try:
         value = json.loads(canonical)
     except (ValueError, RecursionError) as error:
-        return Err([SettingsFault("", 0, f"not JSON: {error}")])
-    return _checked_value(value)
+        return Err(Malformed(f"not JSON: {error}"))
+    checked = check_tree_value(value)
+    if isinstance(checked, Err):
+        return checked
+    revision = _revision(checked.ok_value, canonical)
+    if revision.id != expected:
+        return Err(Malformed(f"expected revision {expected.number}"))
+    return Ok(revision)
 
 
 def changed_revision(
     base: Revision, change: SettingsChange
-) -> Result[Revision, list[SettingsFault]]:
-    """Return ``base`` with ``change`` applied, or all faults of the result."""
+) -> Result[Revision, Malformed | list[SettingsFault]]:
+    """Return ``base`` with ``change`` applied, under the rule of a whole tree."""
     try:
         value = apply(json.loads(base.canonical), unpack(change.patch))
-    except PatchError as error:
-        return Err([SettingsFault("", 0, str(error))])
-    return _checked_value(value)
+        canonical = canonical_bytes(value)
+    except (PatchError, ValueError, RecursionError) as error:
+        return Err(Malformed(str(error)))
+    return restore_revision(canonical, change.revision)
 
 
 def change_between(base: Revision, revision: Revision) -> SettingsChange:
@@ -106,13 +128,6 @@
     return NO_REVISION if revision is None else revision.id
 
 
-def _checked_value(value: Any) -> Result[Revision, list[SettingsFault]]:
-    checked = check_tree_value(value)
-    if isinstance(checked, Err):
-        return checked
-    return Ok(_revision(checked.ok_value, canonical_bytes(value)))
-
-
 def _revision(tree: SettingsTree, canonical: bytes) -> Revision:
     digest = xxhash.xxh3_64_digest(canonical)
     return Revision(RevisionId(RevisionNumber(tree.revision), digest), tree, canonical)
--- a/src/yuccafold/replica/_status.py
+++ b/src/yuccafold/replica/_status.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from enum import Enum
 from functools import cached_property
 from typing import final
 
@@ -13,37 +12,9 @@
 from yuccafold._ids import VmId
 from yuccafold.replica._heard import PeerRevision
 from yuccafold.replica._readiness import Readiness
-from yuccafold.settings import SettingsFault
-
-
-class Source(Enum):
-    """Where a revision came from."""
-
-    SERVICE = "service"
-    PEER = "peer"
-
-
-@final
-@dataclass(slots=True)
-class ReplicaCounts:
-    """How often each unusual thing happened since the process started."""
-
-    stale: int = 0
-    conflicts: int = 0
-    refused: int = 0
-    malformed: int = 0
-    unknown: int = 0
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class RefusedOffer:
-    """The last text or change that was refused, from where, and why."""
-
-    source: Source
-    sender: VmId | None
-    at: Milliseconds
-    faults: tuple[SettingsFault, ...]
+from yuccafold.replica._refusals import RefusedOffer
+from yuccafold.replica._refusals import ReplicaCounts
+from yuccafold.replica._refusals import Source
 
 
 @final
