Test the stand-ins and each of their faults over loopback

Cause: a stand-in that shows another fault than it says would prove nothing. Change: tests of every fault, of batching, cache, resume, orders, long-poll watches, lag and the relay; the load report now counts a sequence as running once the batch was filled, found by a test.

--- a/src/yuccafold/standins/_batch.py
+++ b/src/yuccafold/standins/_batch.py
@@ -95,12 +95,12 @@
 class Batch:
     """The sequences that run and those that wait; ``run`` carries them.
 
-    ``stepped`` is called after each step.
+    ``changed`` is called when the batch was filled and after each step.
     """
 
-    def __init__(self, cost: CostModel, stepped: Callable[[], None]) -> None:
+    def __init__(self, cost: CostModel, changed: Callable[[], None]) -> None:
         self._cost = cost
-        self._stepped = stepped
+        self._changed = changed
         self._waiting: list[tuple[Priority, int, Sequence]] = []
         self._running: list[Sequence] = []
         self._order = itertools.count()
@@ -117,6 +117,11 @@
         """How many sequences wait for room."""
         return len(self._waiting)
 
+    @property
+    def waiting_priorities(self) -> tuple[Priority, ...]:
+        """The priorities of the waiting sequences, the next one first."""
+        return tuple(entry[0] for entry in sorted(self._waiting))
+
     @property
     def steps(self) -> int:
         """How many steps were made."""
@@ -152,6 +157,7 @@
                 self._work = trio.Event()
                 await self._work.wait()
             self._fill()
+            self._changed()
             assert len(self._running) <= self._cost.max_batch, len(self._running)
             prefill = sum(sequence.uncached for sequence in self._running)
             await trio.sleep(self._cost.step_seconds(prefill, len(self._running)))
@@ -166,7 +172,7 @@
         for sequence in self._running:
             sequence.advance()
         self._running = [kept for kept in self._running if not kept.is_done]
-        self._stepped()
+        self._changed()
 
     def _sequences(self) -> Iterator[Sequence]:
         return itertools.chain(self._running, (entry[2] for entry in self._waiting))
--- /dev/null
+++ b/testing/support/loopback.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+import functools
+import inspect
+import json
+import select
+from contextlib import asynccontextmanager
+
+import trio
+
+
+def on_trio(function):
+    """Run an async test on trio."""
+
+    @functools.wraps(function)
+    def run(**arguments):
+        trio.run(functools.partial(function, **arguments))
+
+    run.__signature__ = inspect.signature(function)
+    return run
+
+
+@asynccontextmanager
+async def serving(*servers):
+    """Start each server in order; cancel them all at the end."""
+    async with trio.open_nursery() as nursery:
+        for server in servers:
+            await nursery.start(server.serve)
+        yield nursery
+        nursery.cancel_scope.cancel()
+
+
+async def until(predicate):
+    """Let other tasks run until ``predicate`` holds."""
+    while not predicate():
+        await trio.lowlevel.checkpoint()
+
+
+async def connect(server):
+    host, _, port = server.address.rpartition(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+def message(method, target, body=b"", *headers):
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        "Host: test",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def read_to_end(stream):
+    parts = []
+    try:
+        async for part in stream:
+            parts.append(part)
+    except trio.BrokenResourceError:
+        pass
+    return b"".join(parts)
+
+
+async def exchange(server, method, target, body=b"", *headers):
+    """Make one call on a connection of its own; return all that came back."""
+    async with await connect(server) as stream:
+        data = message(method, target, body, "Connection: close", *headers)
+        try:
+            await stream.send_all(data)
+        except trio.BrokenResourceError:
+            pass
+        return await read_to_end(stream)
+
+
+async def call_json(server, method, target, value=None, *headers):
+    """Make one call; return its status and JSON body."""
+    body = b"" if value is None else json.dumps(value).encode()
+    raw = await exchange(server, method, target, body, *headers)
+    head, _, answer = raw.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(answer) if answer else None
+
+
+def is_quiet(stream):
+    """Return whether nothing, not even an end, can be read now."""
+    return not select.select([stream.socket.fileno()], [], [], 0)[0]
