--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -18,6 +18,12 @@
             "check and show settings files",
             "yuccafold.cli._settings",
         ),
+        Command("load", "send load and check every answer", "yuccafold.cli._load"),
+        Command(
+            "standin",
+            "start a stand-in target or platform service",
+            "yuccafold.cli._standin",
+        ),
         Command("bench", "measure on this machine", "yuccafold.cli._bench"),
     )
 }
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -24,6 +24,7 @@
 from yuccafold.standins._generation import GenerationSettings
 from yuccafold.standins._generation import RunState
 from yuccafold.standins._http import BoundAddress
+from yuccafold.standins._http import Exchange
 from yuccafold.standins._http import HttpServer
 from yuccafold.standins._http import ServerSettings
 from yuccafold.standins._orders import EngineState
@@ -56,6 +57,7 @@
     "EngineRun",
     "EngineSettings",
     "EngineState",
+    "Exchange",
     "Faults",
     "GenerationSettings",
     "HttpServer",
