--- a/src/yuccafold/cli/_load.py
+++ b/src/yuccafold/cli/_load.py
@@ -29,7 +29,7 @@
     define_string("key", "", "Bearer key of the client account.")
     define_string("host", None, "Host header; the address when left out.")
     define_string("chat_path", "/v1/chat/completions", "Path of chat turns.")
-    define_string("plain_path", "/bookings", "Path of plain calls.")
+    define_string("plain_path", "/reservations", "Path of plain calls.")
     define_string("model", "menu-large", "Model that the chats ask for.")
     define_integer("chats", 40, "Number of returning chats.", lower_bound=0)
     define_integer("turns", 5, "Turns of each chat.", lower_bound=0)
--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -19,6 +19,7 @@
             "check and show settings files",
             "yuccafold.cli._settings",
         ),
+        Command("demo", "show a small fleet on loopback", "yuccafold.cli._demo"),
         Command("load", "send load and check every answer", "yuccafold.cli._load"),
         Command(
             "standin",
--- a/src/yuccafold/load/_caller.py
+++ b/src/yuccafold/load/_caller.py
@@ -10,6 +10,7 @@
 
 from yuccafold.load._client import Answer
 from yuccafold.load._client import Headers
+from yuccafold.load._client import NotSentError
 from yuccafold.load._report import LoadReport
 from yuccafold.load._report import Outcome
 
@@ -93,3 +94,9 @@
     """Return how long an answer asks its caller to wait; 0 when it doesn't."""
     text = answer.header("retry-after") or "0"
     return int(text) * MS_PER_SECOND if text.isdecimal() else 0
+
+
+def failed_outcome(error: Exception, report: LoadReport) -> Outcome:
+    """Count a failed attempt; return whether it may have run."""
+    report.errors[type(error.__cause__ or error).__name__] += 1
+    return Outcome.REFUSED if isinstance(error, NotSentError) else Outcome.BROKEN
--- a/src/yuccafold/load/_chat.py
+++ b/src/yuccafold/load/_chat.py
@@ -13,6 +13,7 @@
 
 from yuccafold.load._caller import Attempts
 from yuccafold.load._caller import CallerSettings
+from yuccafold.load._caller import failed_outcome
 from yuccafold.load._caller import record_head
 from yuccafold.load._caller import refused_outcome
 from yuccafold.load._caller import retry_after_ms
@@ -116,8 +117,7 @@
                 async with self._http.call(address, request, host) as answer:
                     return await self._read(answer, asked, trio.current_time())
         except (BrokenCallError, trio.TooSlowError) as error:
-            self._report.errors[type(error.__cause__ or error).__name__] += 1
-            return _Turn(Outcome.BROKEN)
+            return _Turn(failed_outcome(error, self._report))
 
     def _request(self, asked: list[ChatMessage]) -> CallRequest:
         body: dict[str, Any] = {
--- a/src/yuccafold/load/_client.py
+++ b/src/yuccafold/load/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -19,6 +20,10 @@
     """The call got no whole answer; the message says why."""
 
 
+class NotSentError(BrokenCallError):
+    """No connection could be opened, so nothing of the call was sent."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class CallRequest:
@@ -96,6 +101,12 @@
             self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
         return event
 
+    def is_readable(self) -> bool:
+        """Return whether bytes or the end came while no answer was awaited."""
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def reuse(self) -> bool:
         """Return whether the exchange ended so that the next can begin."""
         if self._http.our_state is not h11.DONE:
@@ -123,7 +134,7 @@
         """Send ``request`` and give its answer; ``BrokenCallError`` on failure."""
         connection: _Connection | None = None
         try:
-            connection = self._connections.pop(address, None) or await _open(address)
+            connection = await self._take(address)
             await connection.send(host or address, request)
             yield Answer(await connection.response(), connection)
             if connection.reuse():
@@ -134,6 +145,14 @@
             if connection is not None:
                 await connection.close()
 
+    async def _take(self, address: str) -> _Connection:
+        """Return the connection kept, unless it was closed, or a new one."""
+        kept = self._connections.pop(address, None)
+        if kept is not None and kept.is_readable():
+            await kept.close()
+            kept = None
+        return kept or await _open(address)
+
     async def close(self) -> None:
         """Close every connection kept."""
         while self._connections:
@@ -142,4 +161,8 @@
 
 async def _open(address: str) -> _Connection:
     host, _, port = address.rpartition(":")
-    return _Connection(await trio.open_tcp_stream(host.strip("[]"), int(port)))
+    try:
+        stream = await trio.open_tcp_stream(host.strip("[]"), int(port))
+    except OSError as error:
+        raise NotSentError(f"cannot connect to {address}: {error}") from error
+    return _Connection(stream)
--- a/src/yuccafold/load/_plain.py
+++ b/src/yuccafold/load/_plain.py
@@ -11,6 +11,7 @@
 
 from yuccafold.load._caller import Attempts
 from yuccafold.load._caller import CallerSettings
+from yuccafold.load._caller import failed_outcome
 from yuccafold.load._caller import record_head
 from yuccafold.load._caller import refused_outcome
 from yuccafold.load._caller import retry_after_ms
@@ -33,7 +34,7 @@
     """What one caller of a plain service sends."""
 
     caller: CallerSettings
-    path: str = "/bookings"
+    path: str = "/reservations"
 
 
 @final
@@ -117,8 +118,7 @@
                 async with self._http.call(address, request, caller.host) as answer:
                     return await self._read(answer, request, key, sent_at)
         except (BrokenCallError, trio.TooSlowError) as error:
-            self._report.errors[type(error.__cause__ or error).__name__] += 1
-            return _Attempt(Outcome.BROKEN)
+            return _Attempt(failed_outcome(error, self._report))
 
     async def _read(
         self, answer: Answer, request: CallRequest, key: str, sent_at: float
--- a/src/yuccafold/load/_report.py
+++ b/src/yuccafold/load/_report.py
@@ -29,7 +29,7 @@
     BROKEN = "broken"
     """An explicit error in or instead of an answer; it may have run."""
     REFUSED = "refused"
-    """Refused as not run."""
+    """Refused as not run, or never sent."""
 
 
 @final
--- a/testing/load/test_plain.py
+++ b/testing/load/test_plain.py
@@ -5,6 +5,7 @@
 
 from support.loopback import on_trio
 from support.loopback import serving
+from support.loopback import until
 from yuccafold.load import CallerSettings
 from yuccafold.load import LoadReport
 from yuccafold.load import LoadSettings
@@ -57,10 +58,36 @@
     assert record.outcome is Outcome.BROKEN
 
 
+@on_trio
+async def test_call_that_was_never_sent_counts_as_not_run():
+    refusing = ServerSettings(faults=Faults(refuse_connections=True))
+    service = PlainService(PlainSettings(refusing))
+    report = LoadReport()
+    async with serving(service):
+        record = await caller_of([service.server.address], report).call()
+    assert record.outcome is Outcome.REFUSED
+    assert report.attempts == 2
+
+
+@on_trio
+async def test_connection_that_was_closed_meanwhile_is_not_used_again():
+    service = PlainService(PlainSettings())
+    report = LoadReport()
+    async with serving(service) as nursery:
+        caller = caller_of([service.server.address], report, attempts=1)
+        await caller.call()
+        service.server.crash()
+        await until(lambda: not service.server.open_connections)
+        await nursery.start(service.serve)
+        record = await caller.call()
+        await caller.close()
+    assert record.outcome is Outcome.WHOLE
+
+
 @on_trio
 async def test_answer_of_another_call_is_wrong():
     async def answer(exchange):
-        value = {"method": "POST", "path": "/bookings", "digest": "0"}
+        value = {"method": "POST", "path": "/reservations", "digest": "0"}
         await exchange.respond(200, json.dumps(value).encode())
 
     server = HttpServer(ServerSettings(), answer)
--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -29,7 +29,7 @@
 from yuccafold.standins import prompt_blocks
 
 CHAT = "/v1/chat/completions"
-ASKED = (ChatMessage("system", "Plan menus."), ChatMessage("user", "Dal for forty?"))
+ASKED = (ChatMessage("system", "Plan menus."), ChatMessage("user", "Soup for forty?"))
 STUCK = CostModel(time_scale=1e9)
 """A cost model under which no step ends within a test."""
 
--- a/testing/standins/test_http.py
+++ b/testing/standins/test_http.py
@@ -20,8 +20,8 @@
 from yuccafold.standins import PlainSettings
 from yuccafold.standins import ServerSettings
 
-BODY = b'{"rink": 3}'
-REQUEST = message("POST", "/bookings", BODY, "Connection: close")
+BODY = b'{"item": 3}'
+REQUEST = message("POST", "/reservations", BODY, "Connection: close")
 
 
 def plain_service(faults=NO_FAULTS, *, expect_continue=True):
@@ -35,7 +35,7 @@
 
 
 async def book(service):
-    return await exchange(service.server, "POST", "/bookings", BODY)
+    return await exchange(service.server, "POST", "/reservations", BODY)
 
 
 @on_trio
@@ -136,7 +136,7 @@
 
 @on_trio
 async def test_crash_closes_everything_and_the_port_can_be_served_again():
-    service = plain_service(Faults(crash_marker=b"rink"))
+    service = plain_service(Faults(crash_marker=b"item"))
     async with serving(service) as nursery:
         idle = await connect(service.server)
         assert await book(service) == b""
@@ -153,7 +153,7 @@
 
 @on_trio
 async def test_body_without_the_marker_does_not_crash():
-    service = plain_service(Faults(crash_marker=b"green"))
+    service = plain_service(Faults(crash_marker=b"other"))
     async with serving(service):
         assert b" 200 " in await book(service)
 
@@ -187,7 +187,7 @@
 @on_trio
 async def test_continue_is_sent_before_the_body_is_read():
     service = plain_service()
-    head = message("POST", "/bookings", BODY, "Expect: 100-continue")
+    head = message("POST", "/reservations", BODY, "Expect: 100-continue")
     async with serving(service), await connect(service.server) as stream:
         await stream.send_all(head[: -len(BODY)])
         assert (await stream.receive_some()).startswith(b"HTTP/1.1 100")
@@ -198,7 +198,7 @@
 @on_trio
 async def test_continue_is_left_out_where_the_server_ignores_it():
     service = plain_service(expect_continue=False)
-    head = message("POST", "/bookings", BODY, "Expect: 100-continue")
+    head = message("POST", "/reservations", BODY, "Expect: 100-continue")
     async with serving(service), await connect(service.server) as stream:
         await stream.send_all(head[: -len(BODY)])
         await until(lambda: service.server.open_connections)
--- a/testing/standins/test_plain.py
+++ b/testing/standins/test_plain.py
@@ -11,24 +11,24 @@
 
 @on_trio
 async def test_answer_echoes_the_call():
-    service = PlainService(PlainSettings(name="bookings"))
+    service = PlainService(PlainSettings(name="reservations"))
     async with serving(service):
         status, answer = await call_json(
             service.server,
             "PUT",
-            "/greens/7?day=2",
-            {"rink": 3},
+            "/items/7?day=2",
+            {"item": 3},
             "Yuccafold-Call-Id: c1",
             "Idempotency-Key: k1",
         )
     assert status == 200
     assert answer == {
-        "service": "bookings",
+        "service": "reservations",
         "method": "PUT",
-        "path": "/greens/7",
+        "path": "/items/7",
         "call_id": "c1",
         "idempotency_key": "k1",
-        "digest": body_digest(b'{"rink": 3}'),
+        "digest": body_digest(b'{"item": 3}'),
     }
 
 
