--- /dev/null
+++ b/src/yuccafold/bench/_router_process.py
@@ -0,0 +1,119 @@
+"""A router in a process of its own, with what it takes of the machine."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+from typing import final
+
+import trio
+import yaml
+
+START_SECONDS = 30.0
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.02
+KB_PER_MB = 1024
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+class RouterDidNotStartError(Exception):
+    """The router took no connection in time; the message holds its output."""
+
+
+@final
+class RouterProcess:
+    """A running router and its use of processor time and memory."""
+
+    def __init__(self, pid: int, address: str) -> None:
+        self._proc = Path(f"/proc/{pid}")
+        self._address = address
+
+    @property
+    def address(self) -> str:
+        """Where callers reach it."""
+        return self._address
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far, by user and system."""
+        # The name in parentheses may hold spaces; what follows it does not.
+        after_name = (self._proc / "stat").read_text().rpartition(")")[2].split()
+        user, system = int(after_name[11]), int(after_name[12])
+        return (user + system) / TICKS_PER_SECOND
+
+    def rss_mb(self) -> float:
+        """Return the resident memory in megabytes."""
+        lines = (self._proc / "status").read_text().splitlines()
+        line = next(line for line in lines if line.startswith("VmRSS:"))
+        return int(line.split()[1]) / KB_PER_MB
+
+
+@asynccontextmanager
+async def router_process(tree: str) -> AsyncIterator[RouterProcess]:
+    """Run a router under the settings tree ``tree``; it is ended with the context."""
+    with tempfile.TemporaryDirectory() as name:
+        directory = Path(name)
+        address = _free_address()
+        command = _command(directory, address, tree)
+        with (directory / "output").open("wb") as output:
+            process = subprocess.Popen(command, stdout=output, stderr=output)
+        try:
+            await _wait_until_reachable(address, process, directory / "output")
+            yield RouterProcess(process.pid, address)
+        finally:
+            _stop(process)
+
+
+def _command(directory: Path, address: str, tree: str) -> list[str]:
+    """Write the settings files and return the command that reads them."""
+    (directory / "tree.yaml").write_text(tree)
+    settings: dict[str, Any] = {
+        "vm": "vm-bench",
+        "zone": "a",
+        "region": "south",
+        "listen": address,
+        "operator": _free_address(),
+        "peer": _free_address(),
+        "platform": {"settings_file": str(directory / "tree.yaml")},
+        "drain_notice_ms": 0,
+        "drain_limit_ms": 1,
+    }
+    file = directory / "process.yaml"
+    file.write_text(yaml.safe_dump(settings))
+    return [sys.executable, "-m", "yuccafold", "router", f"--settings={file}"]
+
+
+async def _wait_until_reachable(
+    address: str, process: subprocess.Popen[bytes], output: Path
+) -> None:
+    host, _, port = address.rpartition(":")
+    with trio.move_on_after(START_SECONDS):
+        while process.poll() is None:
+            try:
+                await (await trio.open_tcp_stream(host, int(port))).aclose()
+                return
+            except OSError:
+                await trio.sleep(POLL_SECONDS)
+    raise RouterDidNotStartError(output.read_text()[-2_000:])
+
+
+def _stop(process: subprocess.Popen[bytes]) -> None:
+    process.terminate()
+    try:
+        process.wait(STOP_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def _free_address() -> str:
+    """Return a loopback address whose port nothing uses now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
