Bench placement strategies side by side

Change: arrival model, engine model, four baselines and the real routers in one seeded run; reuse, skew, refusals, control bytes, partition and trades.

--- /dev/null
+++ b/src/yuccafold/bench/_placement.py
@@ -0,0 +1,291 @@
+"""Placement strategies side by side: reuse, skew, refusals, control bytes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import final
+
+from hdrh.histogram import HdrHistogram
+
+from yuccafold._clock import Milliseconds
+from yuccafold._clock import seconds
+from yuccafold._ids import ChatId
+from yuccafold._ids import TargetId
+from yuccafold._ids import ZoneId
+from yuccafold.bench._arrivals import MEAN_OUTPUT_TOKENS
+from yuccafold.bench._arrivals import Arrivals
+from yuccafold.bench._arrivals import ArrivalSettings
+from yuccafold.bench._arrivals import Turn
+from yuccafold.bench._engines import DECODE_MS_PER_TOKEN
+from yuccafold.bench._figure import BenchOptions
+from yuccafold.bench._figure import Figure
+from yuccafold.bench._routers import OurRouters
+from yuccafold.bench._strategies import SERVICE
+from yuccafold.bench._strategies import Ceiling
+from yuccafold.bench._strategies import LeastOfTwo
+from yuccafold.bench._strategies import PlainRanking
+from yuccafold.bench._strategies import RandomChoice
+from yuccafold.bench._strategies import Strategy
+from yuccafold.bench._world import Measures
+from yuccafold.bench._world import World
+from yuccafold.placement import Ranker
+from yuccafold.placement import RankerSettings
+from yuccafold.placement import TargetState
+from yuccafold.settings import Policy
+
+CONTROL_LIMIT_BYTES = 6_000
+DECISION_LIMIT_US = 100
+REUSE_MARGIN_POINTS = 2
+ENGINE_CHURN_SHARE = 0.1
+ROUTER_CHURN_SHARE = 0.25
+TRADES = ((0.0, 1.25), (0.25, 1.25), (0.5, 1.25), (0.5, 1.1), (0.5, 1.5), (0.5, 2.0))
+"""Settings of reuse_weight and load_multiple that are compared."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Size:
+    """One fleet and its load; ``window_s`` is the length of each phase."""
+
+    routers: int
+    engines: int
+    in_flight: float
+    median_pause_ms: int
+    warm_s: int
+    window_s: int
+    cache_tokens: int
+    tick_ms: int
+
+    @property
+    def name(self) -> str:
+        """The suffix of the figures' names."""
+        return f"{self.routers}x{self.engines}"
+
+    def turns(self, seed: int, phases: int) -> list[Turn]:
+        """Return the turns of a run of so many phases."""
+        duration_ms = MEAN_OUTPUT_TOKENS * DECODE_MS_PER_TOKEN * 1.08
+        settings = ArrivalSettings(
+            turns_per_second=self.in_flight * self.engines * 1_000 / duration_ms,
+            duration_ms=(self.warm_s + phases * self.window_s) * 1_000,
+            median_pause_ms=self.median_pause_ms,
+        )
+        return list(Arrivals(settings, seed).turns())
+
+
+SIZES = (
+    Size(8, 5, 6.0, 60_000, 600, 600, 300_000, 50),
+    Size(8, 10, 6.0, 60_000, 600, 600, 300_000, 50),
+    Size(380, 830, 5.0, 8_000, 20, 40, 100_000, 200),
+)
+
+STRATEGIES: dict[str, Callable[[World, Size, int], Strategy]] = {
+    "random": lambda world, size, seed: RandomChoice(world, size.routers, seed),
+    "two": lambda world, size, seed: LeastOfTwo(world, size.routers, seed),
+    "plain": lambda world, size, seed: PlainRanking(world, size.routers, seed),
+    "ours": lambda world, size, seed: OurRouters(
+        world, size.routers, seed, Policy(), size.tick_ms
+    ),
+    "ceiling": lambda world, size, seed: Ceiling(world, size.routers, seed),
+}
+
+
+@final
+class Run:
+    """One strategy in one world, driven through phases."""
+
+    def __init__(
+        self, size: Size, strategy: Callable[[World], Strategy], turns: list[Turn]
+    ) -> None:
+        self._size = size
+        self.world = World(size.engines, size.cache_tokens)
+        self.strategy = strategy(self.world)
+        self._turns = iter(turns)
+        self._schedule_next()
+        self._end = size.warm_s * 1_000
+        self.world.run_until(self._end)
+
+    def _schedule_next(self) -> None:
+        turn = next(self._turns, None)
+        if turn is not None:
+            self.world.after(turn.at - self.world.now, lambda: self._arrive(turn))
+
+    def _arrive(self, turn: Turn) -> None:
+        self.strategy.place(turn)
+        self._schedule_next()
+
+    def phase(self) -> Measures:
+        """Run one window and return what it gave."""
+        measures = self.world.begin_phase()
+        self._end += self._size.window_s * 1_000
+        self.world.run_until(self._end)
+        return measures
+
+    def steady(self) -> Measures:
+        """Run a window without events."""
+        return self.phase()
+
+    def engine_churn(self) -> Measures:
+        """Take engines away at the start; they come back, empty, at half time."""
+        many = max(1, round(ENGINE_CHURN_SHARE * self._size.engines))
+        gone = list(self.world.engines)[:many]
+        for name in gone:
+            del self.world.taking[name]
+        self.strategy.targets_changed()
+        self.world.after(self._size.window_s * 500, lambda: self._return(gone))
+        return self.phase()
+
+    def _return(self, names: list[TargetId]) -> None:
+        for name in names:
+            self.world.engines[name].clear()
+            self.world.taking[name] = None
+        self.strategy.targets_changed()
+
+    def router_churn(self) -> Measures:
+        """Replace routers at the start of a window."""
+        self.strategy.replace_routers(ROUTER_CHURN_SHARE)
+        return self.phase()
+
+    def partition(self) -> Measures:
+        """Cut the routers in two halves for a window."""
+        assert isinstance(self.strategy, OurRouters), "only routers can be parted"
+        self.strategy.cut(self._size.routers // 2)
+        measures = self.phase()
+        self.strategy.cut(0)
+        return measures
+
+
+def control_bytes(measures: Measures, size: Size) -> float:
+    """Return the bytes that one router sends in a second."""
+    total = sum(measures.bytes.values())
+    return total * 1_000 / max(1, measures.duration_ms) / size.routers
+
+
+def refused_percent(measures: Measures) -> float:
+    """Return the share of turns that were refused."""
+    return 100 * measures.refused / max(1, measures.turns + measures.refused)
+
+
+def _reuse(results: dict[str, dict[str, Measures]], size: Size) -> Iterator[Figure]:
+    for phase in ("steady", "engine_churn", "router_churn"):
+        label = "" if phase == "steady" else f"_{phase}"
+        best = results["ceiling"][phase].reuse
+        for name, phases in results.items():
+            baseline = None if name == "ceiling" else best
+            figure = f"reuse{label}_{name}_{size.name}"
+            yield Figure(figure, phases[phase].reuse, "percent", baseline)
+
+
+def _loads(name: str, phases: dict[str, Measures], size: Size) -> Iterator[Figure]:
+    steady = phases["steady"]
+    suffix = f"{name}_{size.name}"
+    for percentile in (50, 99, 100):
+        label = "max" if percentile == 100 else f"p{percentile}"
+        yield Figure(f"skew_{label}_{suffix}", steady.skew_at(percentile), "ratio")
+    above = sum(measures.above_bound for measures in phases.values())
+    yield Figure(f"above_bound_{suffix}", above, "admissions", 0)
+    for phase, measures in phases.items():
+        refused = refused_percent(measures)
+        yield Figure(f"refused_{phase}_{suffix}", refused, "percent")
+    first_token = steady.first_token.get_value_at_percentile(95)
+    yield Figure(f"first_token_p95_{suffix}", first_token, "ms")
+
+
+def _control(phases: dict[str, Measures], size: Size) -> Iterator[Figure]:
+    for phase, measures in phases.items():
+        figure = f"control_{phase}_ours_{size.name}"
+        value = control_bytes(measures, size)
+        yield Figure(figure, value, "B/s/router", CONTROL_LIMIT_BYTES)
+    steady = phases["steady"]
+    for kind, total in sorted(steady.bytes.items()):
+        each = total * 1_000 / steady.duration_ms / size.routers
+        yield Figure(f"control_{kind}_{size.name}", each, "B/s/router")
+    asks = steady.asks / max(1, steady.turns + steady.refused)
+    yield Figure(f"asks_per_turn_{size.name}", asks, "asks")
+
+
+def compare(size: Size, seed: int) -> Iterator[Figure]:
+    """Yield the figures of every strategy at one size."""
+    turns = size.turns(seed, phases=3)
+    results: dict[str, dict[str, Measures]] = {}
+    for name, make in STRATEGIES.items():
+        run = Run(size, lambda world, make=make: make(world, size, seed), turns)
+        results[name] = {
+            "steady": run.steady(),
+            "engine_churn": run.engine_churn(),
+            "router_churn": run.router_churn(),
+        }
+    yield from _reuse(results, size)
+    for name, phases in results.items():
+        yield from _loads(name, phases, size)
+    yield from _control(results["ours"], size)
+
+
+def partition(size: Size, seed: int) -> Iterator[Figure]:
+    """Yield what a partition into two halves does at one size."""
+    turns = size.turns(seed, phases=3)
+
+    def ours(world: World) -> Strategy:
+        return OurRouters(world, size.routers, seed, Policy(), size.tick_ms)
+
+    run = Run(size, ours, turns)
+    before = run.steady()
+    during = run.partition()
+    after = run.steady()
+    for label, measures in (("before", before), ("during", during), ("after", after)):
+        name = f"partition_{label}_{size.name}"
+        yield Figure(f"{name}_above_bound", measures.above_bound, "admissions", 0)
+        yield Figure(f"{name}_refused", refused_percent(measures), "percent")
+        yield Figure(f"{name}_reuse", measures.reuse, "percent")
+
+
+def trades(size: Size, seed: int) -> Iterator[Figure]:
+    """Yield reuse against skew for some settings."""
+    turns = size.turns(seed, phases=1)
+    for weight, multiple in TRADES:
+        policy = Policy(reuse_weight=weight, load_multiple=multiple)
+
+        def ours(world: World, policy: Policy = policy) -> Strategy:
+            return OurRouters(world, size.routers, seed, policy, size.tick_ms)
+
+        measures = Run(size, ours, turns).steady()
+        name = f"trade_w{weight}_m{multiple}_{size.name}"
+        yield Figure(f"{name}_reuse", measures.reuse, "percent")
+        yield Figure(f"{name}_skew_p99", measures.skew_at(99), "ratio")
+        yield Figure(f"{name}_refused", refused_percent(measures), "percent")
+
+
+def decisions(engines: int, count: int) -> Iterator[Figure]:
+    """Yield the time of one ranking, each of a chat not seen before."""
+    ranker = Ranker(ZoneId("a"), RankerSettings())
+    names = [TargetId(f"engine-{number}") for number in range(engines)]
+    states = [TargetState(name, ZoneId("a")) for name in names]
+    ranker.targets_changed(SERVICE, states, Milliseconds(0))
+    now = seconds(3_600)
+    times = HdrHistogram(1, 1_000_000_000, 3)
+    for number in range(count):
+        chat = ChatId(f"chat-{number}")
+        started = time.perf_counter_ns()
+        ranker.rank(SERVICE, chat, names[number % engines], now)
+        times.record_value(time.perf_counter_ns() - started)
+    for percentile in (50, 99):
+        value = times.get_value_at_percentile(percentile) / 1_000
+        name = f"decision_p{percentile}_{engines}"
+        yield Figure(name, value, "us", DECISION_LIMIT_US)
+
+
+def _quicker(size: Size) -> Size:
+    return replace(size, warm_s=size.warm_s // 4, window_s=size.window_s // 4)
+
+
+def figures(options: BenchOptions) -> Iterator[Figure]:
+    """Measure every size, the partition and the trades."""
+    sizes = [_quicker(size) for size in SIZES[:2]] if options.quick else list(SIZES)
+    yield from decisions(830, 5_000 if options.quick else 50_000)
+    for size in sizes:
+        yield from compare(size, options.seed)
+    yield from partition(sizes[1], options.seed)
+    yield from trades(sizes[1], options.seed)
--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -15,7 +15,7 @@
 from yuccafold.bench import Part
 from yuccafold.cli._command import ExitCode
 
-PARTS: dict[str, str] = {}
+PARTS: dict[str, str] = {"placement": "yuccafold.bench._placement"}
 """The module of each part; it holds ``figures(options)``."""
 
 
--- a/src/yuccafold/placement/_ledger.py
+++ b/src/yuccafold/placement/_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 from typing import final
@@ -36,6 +37,9 @@
 from yuccafold.placement._view import FleetView
 from yuccafold.placement._view import LedgerSettings
 
+InFlightSource = Callable[[ServiceId, Milliseconds], int]
+"""Returns a lower bound of other VMs' requests in flight."""
+
 
 @final
 class LoadLedger:
@@ -52,7 +56,14 @@
         incarnation: Incarnation,
         settings: LedgerSettings,
         now: Milliseconds,
+        others: InFlightSource | None = None,
     ) -> None:
+        """Start with nothing held.
+
+        ``others`` replaces the floors that VMs promise directly to each other,
+        which cost a message for every pair of VMs.
+        """
+        self._others = others
         self._me = me
         self._incarnation = incarnation
         self._settings = settings
@@ -161,7 +172,11 @@
 
     def in_flight(self, service: ServiceId, now: Milliseconds) -> int:
         """Return a lower bound of the service's requests in flight."""
-        return self._client.running(service) + self._taken.total(service, now)
+        if self._others is not None:
+            others = self._others(service, now)
+        else:
+            others = self._taken.total(service, now)
+        return self._client.running(service) + others
 
     def handle(self, sender: VmId, message: Any, now: Milliseconds) -> list[Outgoing]:
         """Take a message of another VM; return what to send.
@@ -191,7 +206,7 @@
             if outgoing.to == self._me:
                 self._drop(self._me, outgoing.message)
         outgoing = [out for out in released if out.to != self._me]
-        if now < self._silent_until:
+        if now < self._silent_until or self._others is not None:
             return outgoing
         floors = self._client.floors(now)
         return outgoing + self._given.messages(floors, self._peers, now)
--- a/src/yuccafold/placement/_owner.py
+++ b/src/yuccafold/placement/_owner.py
@@ -21,6 +21,7 @@
 from yuccafold.placement._messages import SlotQuery
 from yuccafold.placement._messages import SlotReport
 from yuccafold.placement._owners import OwnerTable
+from yuccafold.placement._owners import owners_among
 from yuccafold.placement._slots import SlotKey
 from yuccafold.placement._slots import SlotTable
 from yuccafold.placement._takeover import MemoryLoss
@@ -113,7 +114,7 @@
 
     def view_changed(self, view: FleetView, now: Milliseconds) -> None:
         """Adopt a list of VMs and targets; ownership follows from it."""
-        self._owners = OwnerTable(view.vms)
+        self._owners = owners_among(view.vms)
         self._losses.view_changed(view.vms, now)
         self._targets.view_changed(view.targets, now)
         listed = [state.id for states in view.targets.values() for state in states]
--- a/src/yuccafold/placement/_owners.py
+++ b/src/yuccafold/placement/_owners.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import lru_cache
+from heapq import nlargest
 from typing import final
 
 import xxhash
@@ -11,8 +13,10 @@
 from yuccafold._ids import VmId
 
 
-def _score(target: TargetId, vm: VmId) -> int:
-    return xxhash.xxh64_intdigest(f"{target}\0{vm}".encode())
+@lru_cache(maxsize=4)
+def owners_among(vms: tuple[VmId, ...]) -> OwnerTable:
+    """Return the table for ``vms``, whose results are kept."""
+    return OwnerTable(vms)
 
 
 @final
@@ -23,14 +27,16 @@
     """
 
     def __init__(self, vms: Sequence[VmId]) -> None:
-        self._vms = vms
+        self._seeds = [(xxhash.xxh64_intdigest(vm.encode()), vm) for vm in vms]
         self._pairs: dict[TargetId, tuple[VmId | None, VmId | None]] = {}
 
     def _pair(self, target: TargetId) -> tuple[VmId | None, VmId | None]:
         pair = self._pairs.get(target)
         if pair is None:
-            order = sorted(self._vms, key=lambda vm: (_score(target, vm), vm))
-            first, second, *_ = *order[-2:][::-1], None, None
+            score, encoded = xxhash.xxh64_intdigest, target.encode()
+            scores = [(score(encoded, seed), vm) for seed, vm in self._seeds]
+            names = [vm for _, vm in nlargest(2, scores)]
+            first, second, *_ = *names, None, None
             pair = self._pairs[target] = (first, second)
         return pair
 
--- a/src/yuccafold/placement/_placing.py
+++ b/src/yuccafold/placement/_placing.py
@@ -9,6 +9,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import ServiceId
+from yuccafold._ids import TargetId
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
 from yuccafold.placement._messages import DenialReason
@@ -62,6 +63,11 @@
             yield from ((c, stricter) for c in candidates[:STEADY_CHOICES])
         yield from ((c, policy.load_multiple) for c in candidates)
 
+    @property
+    def asking(self) -> TargetId | None:
+        """The target that was asked last."""
+        return None if self._asked is None else self._asked.target
+
     def next_ask(self) -> SlotAsk | None:
         """Return the next slot to ask for, or none when all refused."""
         self._asked, multiple = next(self._asks, (None, 0.0))
