--- a/src/yuccafold/placement/_client.py
+++ b/src/yuccafold/placement/_client.py
@@ -70,6 +70,11 @@
         """Return whether the slot ``number`` is asked for or held."""
         return number in self._pending or number in self._held
 
+    def target(self, number: int) -> TargetId | None:
+        """Return the target that the open ask ``number`` is for."""
+        pending = self._pending.get(number)
+        return None if pending is None else pending.ask.target
+
     def take_outcomes(self) -> list[SlotOutcome]:
         """Return the outcomes since the last call, in order."""
         outcomes = self._outcomes
--- a/src/yuccafold/placement/_floors.py
+++ b/src/yuccafold/placement/_floors.py
@@ -22,6 +22,7 @@
 from yuccafold.placement._messages import Floors
 from yuccafold.placement._messages import FloorsReply
 from yuccafold.placement._messages import ServiceFloor
+from yuccafold.placement._messages import TargetLoad
 from yuccafold.placement._view import LedgerSettings
 
 
@@ -41,6 +42,7 @@
     sent_at: int = -1_000_000
     sent: deque[_Promise] = field(default_factory=deque)
     answered: bool = True
+    answered_at: int = -1
 
 
 @final
@@ -89,14 +91,15 @@
         self, receiver: _Receiver, present: Mapping[ServiceId, int], now: Milliseconds
     ) -> bool:
         waited = now - receiver.sent_at
-        if waited < self._settings.floor_interval_ms:
-            return False
         if not receiver.answered:
             return waited >= self._settings.answer_timeout_ms
-        if waited >= self._settings.floor_lease_ms // 3:
+        if waited >= self._settings.floor_lease_ms // 2:
             return True
         last = receiver.sent[-1].floors if receiver.sent else {}
-        return any(last.get(name, 0) != value for name, value in present.items())
+        if any(present.get(name, 0) < value for name, value in last.items()):
+            # A floor that no longer holds is lowered without delay.
+            return True
+        return waited >= self._settings.floor_interval_ms and last != present
 
     def _promise(
         self, receiver: _Receiver, present: Mapping[ServiceId, int], now: Milliseconds
@@ -119,6 +122,16 @@
             floors,
         )
 
+    def is_silent(self, vm: VmId, now: Milliseconds) -> bool:
+        """Return whether ``vm`` has answered nothing for a whole lease."""
+        receiver = self._receivers.get(vm)
+        return (
+            receiver is not None
+            and not receiver.answered
+            and receiver.answered_at >= 0
+            and now - receiver.answered_at > self._settings.floor_lease_ms
+        )
+
     def on_reply(self, sender: VmId, reply: FloorsReply, now: Milliseconds) -> None:
         """Take an acknowledgement; older floors are no longer counted there."""
         receiver = self._receivers.get(sender)
@@ -128,6 +141,7 @@
             receiver.sent.popleft()
         if reply.sequence == receiver.sequence:
             receiver.answered = True
+        receiver.answered_at = now
         newest = (receiver.stamped_by, receiver.stamp)
         if (reply.stamped_by, reply.stamp) > newest:
             receiver.stamp = reply.stamp
@@ -153,7 +167,11 @@
         self._received: dict[VmId, _Received] = {}
 
     def on_floors(
-        self, sender: VmId, message: Floors, now: Milliseconds
+        self,
+        sender: VmId,
+        message: Floors,
+        loads: tuple[TargetLoad, ...],
+        now: Milliseconds,
     ) -> FloorsReply:
         """Count the newest floors of ``sender`` and return the acknowledgement."""
         known = self._received.get(sender)
@@ -166,7 +184,7 @@
                 self._lease_end(message),
             )
         # A stamp of 0 means none, so the first millisecond is never given.
-        return FloorsReply(message.sequence, max(1, now), self._incarnation)
+        return FloorsReply(message.sequence, max(1, now), self._incarnation, loads)
 
     def _lease_end(self, message: Floors) -> int:
         if message.stamp == 0 or message.stamped_by != self._incarnation:
--- a/src/yuccafold/placement/_ledger.py
+++ b/src/yuccafold/placement/_ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from functools import singledispatchmethod
 from typing import Any
 from typing import final
@@ -47,7 +48,7 @@
 
     ``request_slot`` starts an ask; ``take_outcomes`` gives what became of it,
     perhaps at once. A held slot is given back by ``release``. ``tick`` is due
-    every ``floor_interval_ms``.
+    ten times a second.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         self._silent_until = now + settings.floor_lease_ms
         self._number = 0
         self._unrecorded: dict[int, int] = {}
+        self._loads: dict[TargetId, int] = {}
 
     @property
     def owner(self) -> SlotOwner:
@@ -130,6 +132,9 @@
         if owner is None or self._is_stale:
             self._client.refuse(number, DenialReason.STALE_VIEW)
             return number, []
+        if self._given.is_silent(owner, now):
+            self._client.refuse(number, DenialReason.UNANSWERED)
+            return number, []
         if owner == self._me:
             return number, self._grant_own(number, ask, now)
         request = SlotRequest(
@@ -170,6 +175,11 @@
             return []
         return [Outgoing(vm, Farewell()) for vm in self._peers]
 
+    def loads(self) -> Mapping[TargetId, int]:
+        """Return the latest known in-flight of targets, some of it old."""
+        own = {load.target: load.in_flight for load in self._owner.loads()}
+        return {**self._loads, **own}
+
     def in_flight(self, service: ServiceId, now: Milliseconds) -> int:
         """Return a lower bound of the service's requests in flight."""
         if self._others is not None:
@@ -296,6 +306,9 @@
 
     @_on.register
     def _(self, message: SlotGrant, sender: VmId, now: Milliseconds) -> list:
+        target = self._client.target(message.number)
+        if target is not None:
+            self._loads[target] = message.in_flight
         if self._client.grant(message.number, sender):
             return self._settle(now)
         return [self._release_to(sender, message.number)]
@@ -340,11 +353,14 @@
     @_on.register
     def _(self, message: Floors, sender: VmId, now: Milliseconds) -> list:
         self._owner.see(sender, message.incarnation, now)
-        return [Outgoing(sender, self._taken.on_floors(sender, message, now))]
+        loads = self._owner.loads()
+        reply = self._taken.on_floors(sender, message, loads, now)
+        return [Outgoing(sender, reply)]
 
     @_on.register
     def _(self, message: FloorsReply, sender: VmId, now: Milliseconds) -> list:
         self._given.on_reply(sender, message, now)
+        self._loads.update({load.target: load.in_flight for load in message.loads})
         return self._settle(now)
 
     @_on.register
--- a/src/yuccafold/placement/_messages.py
+++ b/src/yuccafold/placement/_messages.py
@@ -42,7 +42,7 @@
 @final
 @dataclass(frozen=True, slots=True)
 class SlotGrant:
-    """Grants the slot ``number``; ``in_flight`` includes it."""
+    """Grants the slot ``number``; the target's ``in_flight`` includes it."""
 
     number: int
     in_flight: int
@@ -121,14 +121,27 @@
     floors: tuple[ServiceFloor, ...]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """How many slots are held on ``target``."""
+
+    target: TargetId
+    in_flight: int
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class FloorsReply:
-    """Acknowledges ``sequence`` and gives a new ``stamp`` for the next lease."""
+    """Acknowledges ``sequence`` and gives a new ``stamp`` for the next lease.
+
+    ``loads`` tells what the sender's own targets carry.
+    """
 
     sequence: int
     stamp: int
     stamped_by: Incarnation
+    loads: tuple[TargetLoad, ...] = ()
 
 
 @final
--- a/src/yuccafold/placement/_outcome.py
+++ b/src/yuccafold/placement/_outcome.py
@@ -18,6 +18,7 @@
     CALLER_HINT = "caller-hint"
     CACHE_EVENT = "cache-event"
     RANK = "rank"
+    LEAST_LOADED = "least-loaded"
     SAME_ZONE = "same-zone"
     DAMPED = "damped"
 
--- a/src/yuccafold/placement/_owner.py
+++ b/src/yuccafold/placement/_owner.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import final
@@ -20,6 +19,7 @@
 from yuccafold.placement._messages import HeldSlot
 from yuccafold.placement._messages import SlotQuery
 from yuccafold.placement._messages import SlotReport
+from yuccafold.placement._messages import TargetLoad
 from yuccafold.placement._owners import OwnerTable
 from yuccafold.placement._owners import owners_among
 from yuccafold.placement._slots import SlotKey
@@ -257,6 +257,10 @@
         key = SlotKey(slot.holder, slot.incarnation, slot.number)
         self._slots.add(key, slot.target, Milliseconds(now + slot.remaining_ms))
 
-    def counts(self, targets: Iterable[TargetId]) -> Mapping[TargetId, int]:
-        """Return the slots known to be held on each of ``targets``."""
-        return {target: self._slots.count(target) for target in targets}
+    def loads(self) -> tuple[TargetLoad, ...]:
+        """Return what the targets carry on which this VM grants slots."""
+        return tuple(
+            TargetLoad(target, self._slots.count(target))
+            for target, tenure in self._tenures.items()
+            if tenure.phase is Phase.GRANTING
+        )
--- a/src/yuccafold/placement/_ranker.py
+++ b/src/yuccafold/placement/_ranker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import islice
@@ -73,9 +74,13 @@
         chat: ChatId,
         hint: TargetId | None,
         now: Milliseconds,
+        loads: Mapping[TargetId, int] | None = None,
     ) -> list[Candidate]:
         """Return the candidates for a chat's next turn.
 
+        ``loads`` is given for the first turn of a chat whose caller is going
+        to carry the hint: such a chat may start on the least loaded one.
+
         ``hint`` is the target that the caller says served the chat last; one
         that isn't listed or takes no work is passed over.
         """
@@ -94,8 +99,22 @@
             if target is not None and known.history.is_taking_work(target)
         ]
         ranked = islice(self._ranked(known, chat, now), self._settings.candidates)
+        if loads is not None and not leading:
+            return self._by_load(list(ranked), loads)
         return self._distinct([*leading, *ranked])
 
+    @staticmethod
+    def _by_load(
+        candidates: list[Candidate], loads: Mapping[TargetId, int]
+    ) -> list[Candidate]:
+        known = [loads[c.target] for c in candidates if c.target in loads]
+        usual = sum(known) / max(1, len(known))
+        ordered = sorted(candidates, key=lambda c: loads.get(c.target, usual))
+        if not ordered or ordered[0] is candidates[0]:
+            return ordered
+        first = Candidate(ordered[0].target, CandidateReason.LEAST_LOADED)
+        return [first, *ordered[1:]]
+
     def _ranked(
         self, known: _Service, chat: ChatId, now: Milliseconds
     ) -> Iterator[Candidate]:
--- a/src/yuccafold/placement/_view.py
+++ b/src/yuccafold/placement/_view.py
@@ -48,8 +48,8 @@
     """The longest that one request may run."""
     floor_lease_ms: Milliseconds = Milliseconds(2_000)
     """How long a promised floor holds without being renewed."""
-    floor_interval_ms: Milliseconds = Milliseconds(50)
-    """The shortest time between two messages about floors to one VM."""
+    floor_interval_ms: Milliseconds = Milliseconds(200)
+    """How long a higher floor may wait; a lower one is sent at once."""
     answer_timeout_ms: Milliseconds = Milliseconds(200)
     """How long an owner's answer is waited for."""
     pause_limit_ms: Milliseconds = Milliseconds(1_000)
@@ -61,7 +61,7 @@
 class RankerSettings:
     """How candidates are ranked; durations in milliseconds."""
 
-    points: int = 256
+    points: int = 512
     """Points on the ring of a target with capacity 1."""
     candidates: int = 8
     ramp_ms: Milliseconds = Milliseconds(60_000)
--- a/testing/placement/test_ledger.py
+++ b/testing/placement/test_ledger.py
@@ -72,6 +72,8 @@
         for n in range(5):
             outcome = net.ask(vm, f"engine-{n}", multiple=10.0)
             assert isinstance(outcome, SlotGranted)
+        # Higher floors, which raise the bound, wait for the interval.
+        net.run(300)
 
 
 def test_target_is_full_at_the_bound_and_open_again_after_release():
