--- a/src/yuccafold/bench/_virtual_fleet.py
+++ b/src/yuccafold/bench/_virtual_fleet.py
@@ -109,7 +109,7 @@
             random.Random(self.rng.random()),
         )
         self.nodes[vm] = Node(entry, membership, incarnation)
-        self._push(self.now + self.rng.randrange(TICK_MS), vm, None, b"")
+        self._schedule_tick(vm, self.rng.randrange(TICK_MS))
 
     def stop(self, vm: VmId) -> None:
         """Stop ``vm`` without a word."""
@@ -147,19 +147,23 @@
         if node.paused_until > self.now:
             self._push(node.paused_until, to, sender, data)
         elif sender is None:
-            self._tick(to, node)
+            self._tick(to, node, data)
         elif node.running and not self.faults.cut(sender, to):
             message = fleet.decode(data).unwrap()
             now = Milliseconds(self.now)
             self.send(to, node.membership.handle(sender, message, now))
 
-    def _tick(self, vm: VmId, node: Node) -> None:
-        if not node.running:
+    def _schedule_tick(self, vm: VmId, wait_ms: int) -> None:
+        incarnation = str(self.nodes[vm].incarnation).encode()
+        self._push(self.now + wait_ms, vm, None, incarnation)
+
+    def _tick(self, vm: VmId, node: Node, incarnation: bytes) -> None:
+        if not node.running or incarnation != str(node.incarnation).encode():
             return
         self.send(vm, node.membership.tick(Milliseconds(self.now)))
         events = node.membership.take_events()
         self.events.extend((vm, event) for event in events)
-        self._push(self.now + TICK_MS, vm, None, b"")
+        self._schedule_tick(vm, TICK_MS)
 
 
 def _entry(number: int, regions: int) -> fleet.VmListEntry:
--- a/testing/fleet/test_membership.py
+++ b/testing/fleet/test_membership.py
@@ -107,6 +107,27 @@
         assert view(virtual, vm).reachable == set(virtual.vms)
 
 
+def test_restarted_vm_learns_what_the_others_know():
+    virtual = settled(24)
+    virtual.run(30_000)
+    restarted = virtual.vms[0]
+    virtual.stop(restarted)
+    virtual.start(restarted)
+    virtual.publish(to=[restarted])
+    virtual.run(SETTLED_MS)
+    for other in virtual.vms:
+        known = view(virtual, restarted).incarnation(other)
+        assert known == virtual.nodes[other].incarnation
+
+
+def test_one_severed_path_makes_nobody_suspect():
+    virtual = settled(8)
+    cut = set(virtual.vms[:2])
+    virtual.faults.severed = lambda one, other: {one, other} == cut
+    virtual.run(60_000)
+    assert virtual.events == []
+
+
 def test_leaving_is_known_to_all_and_goodbye_ends_it():
     virtual = settled(6)
     leaver, *rest = virtual.vms
@@ -148,6 +169,39 @@
     return membership, entries
 
 
+def ticked(membership, *times):
+    return [item for at in times for item in membership.tick(Milliseconds(at))]
+
+
+def test_ping_under_way_during_a_pause_blames_nobody():
+    membership, _ = alone()
+    assert ticked(membership, 500, 1_000)
+    ticked(membership, 60_000, 60_100)
+    statuses = {member.status for member in membership.view.members.values()}
+    assert statuses == {ALIVE}
+
+
+def test_suspicion_does_not_run_out_during_a_pause():
+    membership, entries = alone()
+    suspect = fleet.MemberStatus.SUSPECT
+    rumour = MemberUpdate(entries[1].id, Incarnation(5), 0, suspect, False)
+    membership.handle(entries[2].id, Sync((rumour,)), Milliseconds(10))
+    ticked(membership, 100, 60_000)
+    assert membership.view.members[entries[1].id].status is suspect
+    ticked(membership, *range(60_100, 64_500, 100))
+    assert membership.view.members[entries[1].id].status is DEAD
+
+
+def test_vm_in_recent_contact_is_only_suspected_on_hearsay():
+    membership, entries = alone()
+    truth = MemberUpdate(entries[1].id, Incarnation(5), 0, ALIVE, False)
+    membership.handle(truth.vm, Ack(1, truth, (), ()), Milliseconds(10))
+    rumour = replace(truth, status=DEAD)
+    membership.handle(entries[2].id, Sync((rumour,)), Milliseconds(20))
+    status = membership.view.members[truth.vm].status
+    assert status is fleet.MemberStatus.SUSPECT
+
+
 def test_process_whose_id_was_taken_over_is_told():
     membership, entries = alone()
     later = Incarnation(START_UNIX_MS + 5)
