Order engines under permits of one leased issuer

Cause: engines load models, adapters and versions and change role by order; an older revision must never follow a newer one, also where an engine ignores fencing numbers, and the weight store's rate is the fleet's. Change: one lease, held by votes of a majority of a few listed VMs, gives one VM the right to issue permits. A permit gives one process one engine until it lapses; loads are spaced, and enough engines of a service keep serving. Fencing numbers put the settings revision first. The owner of an engine reads its state before and after each order. A carrier speaks the engines' HTTP form.

--- a/src/yuccafold/bench/_settings_world.py
+++ b/src/yuccafold/bench/_settings_world.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Iterator
-from dataclasses import dataclass
-from dataclasses import field
+from functools import partial
 from itertools import count
 from typing import Any
 from typing import final
 
-from yuccafold._clock import ManualClock
+from yuccafold._clock import Milliseconds
 from yuccafold._ids import Incarnation
 from yuccafold._ids import RevisionNumber
 from yuccafold._ids import VmId
 from yuccafold._outgoing import Outgoing
+from yuccafold.bench._virtual_network import VirtualNetwork
 from yuccafold.replica import OfferResult
 from yuccafold.replica import ReplicaOptions
 from yuccafold.replica import RevisionId
@@ -26,18 +23,6 @@
 TICK_MS = 250
 
 
-@final
-@dataclass(slots=True)
-class LinkFaults:
-    """What the network does to a message; ``cut`` holds pairs that lose all."""
-
-    delay_ms: int = 1
-    jitter_ms: int = 0
-    loss: float = 0.0
-    doubling: float = 0.0
-    cut: set[frozenset[VmId]] = field(default_factory=set)
-
-
 @final
 class SettingsWorld:
     """Replicas by VM, joined by a network; ``advance`` lets time pass.
@@ -56,22 +41,22 @@
     ) -> None:
         self.vms = vms
         self.rng = random.Random(seed)
-        self.clock = ManualClock()
-        self.links = LinkFaults()
-        self.stopped: set[VmId] = set()
+        self.network = VirtualNetwork(self.rng)
+        self.replicas: dict[VmId, SettingsReplica] = {}
+        self.in_force_at: dict[VmId, dict[RevisionNumber, int]] = {vm: {} for vm in vms}
         self._options = options or ReplicaOptions()
         self._sent = sent
-        self._order = count()
-        self._queue: list[tuple[int, int, VmId, VmId, Any]] = []
         self._partners = partner_graph(vms, degree, self.rng)
         self._incarnations = count(1)
-        self.replicas: dict[VmId, SettingsReplica] = {}
         self._held: dict[VmId, RevisionId] = {}
-        self.in_force_at: dict[VmId, dict[RevisionNumber, int]] = {vm: {} for vm in vms}
-        self._next_tick: dict[VmId, int] = {}
         for vm in vms:
             self.restart(vm)
 
+    @property
+    def now(self) -> Milliseconds:
+        """The present instant of the virtual clock."""
+        return self.network.clock.now()
+
     def restart(self, vm: VmId) -> None:
         """Replace ``vm`` by one without memory."""
         replica = SettingsReplica(
@@ -79,76 +64,54 @@
             Incarnation(next(self._incarnations)),
             self._options,
             self.rng,
-            self.clock.now(),
+            self.now,
         )
         replica.set_listed(frozenset(self.vms))
         replica.set_partners(self._partners[vm])
         self.replicas[vm] = replica
         self._held.pop(vm, None)
-        self._next_tick[vm] = self.clock.now() + self.rng.randrange(TICK_MS)
+        self._tick(vm, replica, self.now + self.rng.randrange(TICK_MS))
+
+    def _tick(self, vm: VmId, replica: SettingsReplica, due: int) -> None:
+        """Tick ``replica`` from ``due`` on, until another takes its place."""
+
+        def tick() -> None:
+            if self.replicas[vm] is replica:
+                self._send(vm, replica.tick(self.now))
+                self._tick(vm, replica, self.now + TICK_MS)
+
+        self.network.call_at(due, tick, vm)
 
     def offer(self, vm: VmId, text: str) -> OfferResult:
         """Let ``vm`` read ``text`` from the settings service."""
-        result = self.replicas[vm].offer(text, self.clock.now())
+        result = self.replicas[vm].offer(text, self.now)
         self._send(vm, result.outgoing)
         self._check(vm)
         return result
 
     def stop(self, vm: VmId) -> None:
         """Stop the process of ``vm``; what is sent to it waits."""
-        self.stopped.add(vm)
+        self.network.stop(vm)
 
     def resume(self, vm: VmId) -> None:
         """Let a stopped process go on; it notices the pause."""
-        self.stopped.discard(vm)
+        self.network.resume(vm)
         self.replicas[vm].paused()
 
     def advance(self, duration: int) -> None:
         """Deliver and tick for ``duration`` milliseconds of virtual time."""
-        end = self.clock.now() + duration
-        while True:
-            due = min(
-                chain_times(self._queue, self._next_tick.values()), default=end + 1
-            )
-            if due > end:
-                break
-            self.clock.advance(max(0, due - self.clock.now()))
-            self._deliver()
-            self._tick()
-        self.clock.advance(end - self.clock.now())
-
-    def _deliver(self) -> None:
-        now = self.clock.now()
-        while self._queue and self._queue[0][0] <= now:
-            _, order, sender, to, message = heapq.heappop(self._queue)
-            if to in self.stopped:
-                later = (now + TICK_MS, order, sender, to, message)
-                heapq.heappush(self._queue, later)
-                continue
-            self._send(to, self.replicas[to].handle(sender, message, now))
-            self._check(to)
-
-    def _tick(self) -> None:
-        now = self.clock.now()
-        for vm in [vm for vm, due in self._next_tick.items() if due <= now]:
-            self._next_tick[vm] = now + TICK_MS
-            if vm not in self.stopped:
-                self._send(vm, self.replicas[vm].tick(now))
+        self.network.advance(duration)
 
     def _send(self, sender: VmId, outgoing: list[Outgoing]) -> None:
         for entry in outgoing:
             if self._sent is not None:
                 self._sent(sender, entry.message)
-            if frozenset((sender, entry.to)) in self.links.cut:
-                continue
-            if self.rng.random() < self.links.loss:
-                continue
-            copies = 2 if self.rng.random() < self.links.doubling else 1
-            for _ in range(copies):
-                delay = self.links.delay_ms + self.rng.randint(0, self.links.jitter_ms)
-                due = self.clock.now() + delay
-                item = (due, next(self._order), sender, entry.to, entry.message)
-                heapq.heappush(self._queue, item)
+            deliver = partial(self._deliver, sender, entry.to, entry.message)
+            self.network.send(sender, entry.to, deliver)
+
+    def _deliver(self, sender: VmId, to: VmId, message: Any) -> None:
+        self._send(to, self.replicas[to].handle(sender, message, self.now))
+        self._check(to)
 
     def _check(self, vm: VmId) -> None:
         """Record a new revision in force and that it is no step back."""
@@ -160,16 +123,7 @@
             f"{vm} went from {held} to {revision}"
         )
         self._held[vm] = revision
-        self.in_force_at[vm].setdefault(revision.number, self.clock.now())
-
-
-def chain_times(
-    queue: list[tuple[int, int, VmId, VmId, Any]], ticks: Iterable[int]
-) -> Iterator[int]:
-    """Yield the instants at which something is due."""
-    if queue:
-        yield queue[0][0]
-    yield from ticks
+        self.in_force_at[vm].setdefault(revision.number, self.now)
 
 
 def partner_graph(
--- /dev/null
+++ b/src/yuccafold/orders/_carrier.py
@@ -0,0 +1,153 @@
+"""Carries orders to engines over HTTP; the form that engines speak is here alone."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import final
+
+import trio
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import ValidationError
+from result import Err
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
+from yuccafold.orders._controller import OrderController
+from yuccafold.orders._desired import EngineOrder
+from yuccafold.orders._desired import Observation
+from yuccafold.orders._job import EngineAnswer
+from yuccafold.orders._job import EngineCommand
+from yuccafold.orders._options import OrderOptions
+from yuccafold.platform import HttpLimits
+from yuccafold.platform import HttpRequest
+from yuccafold.platform import HttpResponse
+from yuccafold.platform import call
+
+OK = 200
+TICK_MS = 200
+MAX_ANSWER_BYTES = 65_536
+MAX_CALLS = 16
+"""How many calls to engines are open at once."""
+
+
+class _State(BaseModel):
+    """An engine's answer to ``GET /state``; unknown keys are ignored."""
+
+    model_config = ConfigDict(strict=True)
+
+    model: str
+    version: str
+    adapters: list[str] = []
+    role: str = "both"
+    draining: bool = False
+    fence: int = 0
+
+
+class _Load(BaseModel):
+    """An engine's answer to ``GET /load``; unknown keys are ignored."""
+
+    model_config = ConfigDict(strict=True)
+
+    in_flight: int = 0
+    queued: int = 0
+
+
+def order_body(order: EngineOrder, fence: int) -> bytes:
+    """Return the JSON of an order; empty fields are left out."""
+    fields = {
+        "model": order.model,
+        "version": order.version,
+        "adapter": order.adapter,
+        "role": order.role,
+    }
+    stated = {name: value for name, value in fields.items() if value}
+    return json.dumps({"kind": order.kind.value, "fence": fence, **stated}).encode()
+
+
+def read_observation(state: bytes, load: bytes) -> Observation | None:
+    """Return what an engine reported, or ``None`` when it is unusable."""
+    try:
+        seen = _State.model_validate_json(state)
+        running = _Load.model_validate_json(load)
+    except ValidationError:
+        return None
+    return Observation(
+        seen.model,
+        seen.version,
+        frozenset(seen.adapters),
+        seen.role,
+        seen.draining,
+        running.in_flight + running.queued,
+        max(0, seen.fence),
+    )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OrderCarrier:
+    """Ticks a controller, sends its messages and makes its calls."""
+
+    controller: OrderController
+    clock: Clock
+    options: OrderOptions
+    send: Callable[[list[Any]], None]
+    """Takes the ``Outgoing`` messages for peers; must not block."""
+
+    async def run(self) -> None:
+        """Carry until cancelled; each call runs in a task of its own."""
+        limiter = trio.CapacityLimiter(MAX_CALLS)
+        async with trio.open_nursery() as nursery:
+            while True:
+                self.send(self.controller.tick(self.clock.now()))
+                for command in self.controller.commands():
+                    nursery.start_soon(self._carry, command, limiter)
+                await trio.sleep(TICK_MS / MS_PER_SECOND)
+
+    async def _carry(
+        self, command: EngineCommand, limiter: trio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            if command.order is None:
+                answer = EngineAnswer(True, await self._read(command.address))
+            else:
+                answer = await self._order(command, command.order)
+        self.controller.answered(command, answer, self.clock.now())
+
+    async def _read(self, address: str) -> Observation | None:
+        state = await self._call(HttpRequest(address, "/state"))
+        load = await self._call(HttpRequest(address, "/load"))
+        if state is None or load is None or (state.status, load.status) != (OK, OK):
+            return None
+        return read_observation(state.body, load.body)
+
+    async def _order(self, command: EngineCommand, order: EngineOrder) -> EngineAnswer:
+        body = order_body(order, command.fence)
+        request = HttpRequest(command.address, "/orders", "POST", body)
+        sent = False
+
+        def may_send() -> bool:
+            nonlocal sent
+            sent = self.controller.may_send(command, self.clock.now())
+            return sent
+
+        response = await self._call(request, self.options.order_ms, may_send)
+        # Without an answer the order may still be carried out.
+        return EngineAnswer(ended=response is not None or not sent)
+
+    async def _call(
+        self,
+        request: HttpRequest,
+        wait_ms: int = 0,
+        may_send: Callable[[], bool] | None = None,
+    ) -> HttpResponse | None:
+        limits = HttpLimits(
+            connect_timeout_ms=self.options.wire_ms // 2,
+            answer_timeout_ms=self.options.wire_ms // 2,
+            max_body_bytes=MAX_ANSWER_BYTES,
+        )
+        called = await call(request, limits, wait_ms, may_send)
+        return None if isinstance(called, Err) else called.ok_value
--- a/src/yuccafold/platform/_http.py
+++ b/src/yuccafold/platform/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
 
@@ -61,9 +62,15 @@
 
 
 async def call(
-    request: HttpRequest, limits: HttpLimits, wait_ms: int = 0
+    request: HttpRequest,
+    limits: HttpLimits,
+    wait_ms: int = 0,
+    may_send: Callable[[], bool] | None = None,
 ) -> Result[HttpResponse, HttpFault]:
-    """Make one call on a connection of its own; ``wait_ms`` is a long poll's wait."""
+    """Make one call on a connection of its own; ``wait_ms`` is a long poll's wait.
+
+    ``may_send`` is asked once connected, right before the first byte.
+    """
     stream = None
     with trio.move_on_after(limits.connect_timeout_ms / MS_PER_SECOND):
         try:
@@ -74,6 +81,8 @@
         return Err(HttpFault(f"connecting to {request.address} timed out"))
     timeout = (limits.answer_timeout_ms + wait_ms) / MS_PER_SECOND
     async with stream:
+        if may_send is not None and not may_send():
+            return Err(HttpFault("not sent: it may no longer be"))
         with trio.move_on_after(timeout):
             return await _exchange(stream, request, limits)
     return Err(HttpFault(f"{request.address} gave no whole answer in {timeout} s"))
--- a/src/yuccafold/replica/_log.py
+++ b/src/yuccafold/replica/_log.py
@@ -23,8 +23,8 @@
 
     def append(self, change: SettingsChange) -> None:
         """Add the change that led to the revision in force."""
-        if self._changes and self._changes[-1].revision != change.base:
-            self.clear()
+        last = self._changes[-1].revision if self._changes else change.base
+        assert change.base == last, f"{change.base} does not follow {last}"
         self._changes.append(change)
         self._bytes += len(change.patch)
         while (
@@ -33,11 +33,6 @@
         ):
             self._bytes -= len(self._changes.popleft().patch)
 
-    def clear(self) -> None:
-        """Forget every change; the chain was broken."""
-        self._changes.clear()
-        self._bytes = 0
-
     def after(self, have: RevisionId) -> tuple[SettingsChange, ...]:
         """Return the changes that follow ``have``, within one reply's bytes.
 
--- /dev/null
+++ b/testing/orders/test_controller.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from yuccafold.bench._orders_world import OrdersWorld
+from yuccafold.bench._orders_world import run_with_faults
+from yuccafold.bench._orders_world import settle
+
+SETTLE_LIMIT_MS = 600_000
+
+
+def violations(world):
+    counts = world.counts
+    return counts.older_after_newer, counts.rate_exceeded, counts.share_violated
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_faulted_run_breaks_no_promise_and_settles(seed):
+    world = OrdersWorld(seed, vms=5, engines=4, rate=6)
+    run_with_faults(world, 900_000)
+    settle(world, SETTLE_LIMIT_MS)
+    assert violations(world) == (0, 0, 0)
+    assert world.is_settled
+    assert world.store.loads
+
+
+def test_minority_side_orders_nothing():
+    world = OrdersWorld(1, vms=5, engines=4, rate=60)
+    world.network.links.part({world.vms[0], world.vms[1]}, world.vms)
+    world.publish(longest_lag_ms=0)
+    world.network.advance(60_000)
+    minority = [world.controllers[vm] for vm in world.vms[:2]]
+    assert not any(node.lease.acquired_at for node in minority)
+    assert settle(world, SETTLE_LIMIT_MS) < SETTLE_LIMIT_MS
+
+
+class Orders(RuleBasedStateMachine):
+    """Any interleaving of faults and of new settings."""
+
+    indices = st.integers(0, 4)
+
+    def __init__(self):
+        super().__init__()
+        self.world = OrdersWorld(11, vms=5, engines=4, rate=6)
+
+    @rule(lag=st.sampled_from([0, 5_000, 40_000]))
+    def publish(self, lag):
+        self.world.publish(lag)
+
+    @rule(ms=st.integers(100, 40_000))
+    def pass_time(self, ms):
+        self.world.network.advance(ms)
+
+    @rule(index=indices)
+    def stop(self, index):
+        self.world.network.stop(self.world.vms[index])
+
+    @rule(index=indices)
+    def resume(self, index):
+        self.world.resume(self.world.vms[index])
+
+    @rule(side=st.sets(indices))
+    def part(self, side):
+        vms = self.world.vms
+        self.world.network.links.part({vms[index] for index in side}, vms)
+
+    @rule(index=indices)
+    def restart(self, index):
+        self.world.restart(self.world.vms[index])
+
+    @rule(loss=st.sampled_from([0.0, 0.3]), jitter=st.sampled_from([0, 2_000]))
+    def degrade(self, loss, jitter):
+        links = self.world.network.links
+        links.loss = links.doubling = loss
+        links.jitter_ms = jitter
+        self.world.lossy = loss > 0
+
+    @invariant()
+    def promises_hold(self):
+        assert violations(self.world) == (0, 0, 0)
+
+    def teardown(self):
+        settle(self.world, SETTLE_LIMIT_MS)
+        assert violations(self.world) == (0, 0, 0)
+        assert self.world.is_settled
+
+
+TestOrders = Orders.TestCase
+TestOrders.settings = settings(max_examples=12, stateful_step_count=25, deadline=None)
--- /dev/null
+++ b/testing/orders/test_lease.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import pytest
+
+from yuccafold._ids import VmId
+from yuccafold.orders import LeaseAnswer
+from yuccafold.orders import LeaseAsk
+from yuccafold.orders import OrderOptions
+from yuccafold.orders._lease import LeaseHolder
+from yuccafold.orders._lease import LeaseVoter
+
+A, B, C, D = (VmId(name) for name in "abcd")
+OPTIONS = OrderOptions()
+START = OPTIONS.abstain_ms
+
+
+def vote(voter, sender, now, *, incarnation=1, term=0, floor=1, revision=1):
+    return voter.vote(sender, LeaseAsk(incarnation, 1, term, floor), revision, now)
+
+
+def holder(*vms):
+    lease = LeaseHolder(A, 1, OPTIONS, 0)
+    lease.set_list(vms or (A, B, C), 0)
+    return lease
+
+
+def grant(lease, now, voters, *, revision=1, term=0):
+    """Ask once and let ``voters`` grant."""
+    asked = lease.tick(True, revision, now)
+    for vm in voters:
+        number = asked[0].message.round
+        lease.take(vm, LeaseAnswer(number, True, term, revision), now)
+    return [entry.to for entry in asked]
+
+
+def test_voter_grants_to_one_process_at_a_time():
+    voter = LeaseVoter(OPTIONS, 0)
+    assert vote(voter, A, START).granted
+    assert vote(voter, A, START + 1).granted
+    assert not vote(voter, B, START + 2).granted
+    assert not vote(voter, A, START + 3, incarnation=2).granted
+    assert vote(voter, B, START + 1 + OPTIONS.lease_ms).granted
+
+
+def test_voter_without_memory_abstains():
+    voter = LeaseVoter(OPTIONS, 0)
+    assert not vote(voter, A, START - 1).granted
+
+
+def test_voter_tells_the_highest_term_and_revision():
+    voter = LeaseVoter(OPTIONS, 0)
+    vote(voter, A, START, term=7, floor=9)
+    answer = vote(voter, B, START + OPTIONS.lease_ms, revision=8)
+    assert (answer.term, answer.floor) == (7, 9)
+
+
+def test_lease_needs_a_majority_and_lapses_from_the_asking_on():
+    lease = holder()
+    assert grant(lease, START - 1, ()) == []
+    grant(lease, START, (A,))
+    assert not lease.is_held(START)
+    grant(lease, START + OPTIONS.renew_ms, (A, B))
+    end = START + OPTIONS.renew_ms + OPTIONS.usable(OPTIONS.lease_ms)
+    assert lease.is_held(end - 1)
+    assert not lease.is_held(end)
+
+
+def test_answer_to_an_earlier_round_counts_for_nothing():
+    lease = holder()
+    lease.tick(True, 1, START)
+    lease.tick(True, 1, START + OPTIONS.renew_ms)
+    for vm in (A, B, C):
+        lease.take(vm, LeaseAnswer(1, True, 0, 1), START + OPTIONS.renew_ms)
+    assert not lease.is_held(START + OPTIONS.renew_ms)
+
+
+def test_term_and_floor_count_once_a_majority_was_told():
+    lease = holder()
+    grant(lease, START, (A, B), term=4, revision=9)
+    assert (lease.term, lease.floor) == (0, 0)
+    grant(lease, START, (A, B), term=4, revision=9)
+    assert (lease.term, lease.floor) == (5, 9)
+
+
+def test_majority_of_each_list_is_needed_while_two_may_be_in_use():
+    lease = holder(A, B, C)
+    now = START + 1
+    lease.set_list((A, D), now)
+    assert grant(lease, now, (A, D)) == [A, B, C, D]
+    assert not lease.is_held(now)
+    grant(lease, now + OPTIONS.renew_ms, (A, B, D))
+    assert lease.is_held(now + OPTIONS.renew_ms)
+    later = now + OPTIONS.abstain_ms + 1
+    assert grant(lease, later, (A, D)) == [A, D]
+    assert lease.is_held(later)
+
+
+@pytest.mark.parametrize("vms", [9, 380])
+def test_voters_are_few(vms):
+    names = [VmId(f"vm-{number}") for number in range(vms)]
+    assert len(grant(holder(*names), START, ())) == OPTIONS.seats
--- a/testing/replica/test_replica.py
+++ b/testing/replica/test_replica.py
@@ -159,12 +159,12 @@
     for vm in VMS:
         world.offer(vm, tree(1))
     world.advance(10_000)
-    now = world.clock.now()
+    now = world.now
     assert {r.readiness(now) for r in world.replicas.values()} == {Readiness.READY}
     world.restart(VMS[3])
     world.advance(5_000)
     assert world.replicas[VMS[3]].revision == world.replicas[VMS[0]].revision
-    assert world.replicas[VMS[3]].readiness(world.clock.now()) is Readiness.READY
+    assert world.replicas[VMS[3]].readiness(world.now) is Readiness.READY
 
 
 def test_status_names_those_that_lag():
@@ -175,7 +175,7 @@
     world.stop(VMS[2])
     world.offer(VMS[0], tree(2))
     world.advance(20_000)
-    status = world.replicas[VMS[5]].status(world.clock.now())
+    status = world.replicas[VMS[5]].status(world.now)
     assert status.vms_by_revision == {1: 1, 2: 5}
     assert status.lagging == (VMS[2],)
 
@@ -211,18 +211,18 @@
 
     @rule(loss=st.sampled_from([0.0, 0.3, 0.9]), jitter=st.sampled_from([0, 3_000]))
     def degrade(self, loss, jitter):
-        self.world.links.loss = loss
-        self.world.links.doubling = loss / 2
-        self.world.links.jitter_ms = jitter
+        links = self.world.network.links
+        links.loss = loss
+        links.doubling = loss / 2
+        links.jitter_ms = jitter
 
     @rule(side=st.sets(vms))
     def part(self, side):
-        others = set(VMS) - side
-        self.world.links.cut = {frozenset((a, b)) for a in side for b in others}
+        self.world.network.links.part(side, VMS)
 
     @rule(vm=vms)
     def restart(self, vm):
-        self.world.stopped.discard(vm)
+        self.world.network.resume(vm)
         self.world.restart(vm)
 
     @rule(vm=vms)
@@ -231,11 +231,11 @@
 
     @rule(vm=vms)
     def resume(self, vm):
-        if vm in self.world.stopped:
+        if vm in self.world.network.stopped:
             self.world.resume(vm)
 
     def teardown(self):
-        links = self.world.links
+        links = self.world.network.links
         links.loss = links.doubling = links.jitter_ms = 0
         links.cut = set()
         for vm in VMS:
