--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -192,6 +192,15 @@
     assert status == 409
 
 
+@on_trio
+async def test_engine_that_can_goes_on_with_the_answer_of_another():
+    engine = engine_with(resume_anywhere=True)
+    async with serving(engine):
+        resume = "Yuccafold-Resume: c9;from=2"
+        events = await streamed_events(engine, resume, max_tokens=6)
+    assert contents(events) == list(answer_tokens(ASKED, 6))[2:]
+
+
 def test_answer_is_not_resumed_after_its_time():
     async def check():
         engine = engine_with(resume_ms=5_000)
