Write the fault tests' settings without anchors

Cause: settings are refused when they hold YAML anchors, which the writer made for a value used twice. Change: the value is copied. make test: all passed.

--- a/testing/router/test_faults.py
+++ b/testing/router/test_faults.py
@@ -130,7 +130,12 @@
             {"id": f"{kind}-{number}", "address": address, "zone": "a"}
             for number, address in enumerate(addresses)
         ]
-        return {"kind": kind, "paths": [path], "targets": targets, "traits": traits}
+        return {
+            "kind": kind,
+            "paths": [path],
+            "targets": targets,
+            "traits": dict(traits),
+        }
 
     timeouts = ("first_byte_timeout_ms", "continue_timeout_ms", "stream_gap_timeout_ms")
     value = {
