Let a stand-in engine end a stream cleanly too early

Cause: two altered lines of the router went unnoticed by the fault tests: a stream without its last event, and a second send of a call that may have run. Change: a fault that ends a stream cleanly after some events; tests of both.

--- a/src/yuccafold/standins/_faults.py
+++ b/src/yuccafold/standins/_faults.py
@@ -43,6 +43,8 @@
     """Write a second complete response after the first."""
     truncated: bool = False
     """Withhold the last bytes of the response and close."""
+    end_stream_after_events: int | None = None
+    """End a streamed answer cleanly after this many events."""
     overlong: bool = False
     """Write further bytes after the response's body."""
     malformed: Malformed | None = None
--- a/src/yuccafold/standins/_http.py
+++ b/src/yuccafold/standins/_http.py
@@ -100,6 +100,7 @@
         self._request = request
         self._connection = connection
         self._wire = wire
+        self._parts = 0
 
     @property
     def request(self) -> ServedRequest:
@@ -112,7 +113,11 @@
         await self._wire.send(self._connection.send(event))
 
     async def send(self, data: bytes) -> None:
-        """Write a part of the body."""
+        """Write a part of the body, unless a fault ends the body before it."""
+        self._parts += 1
+        last = self._wire.faults.end_stream_after_events
+        if last is not None and self._parts > last:
+            return
         await self._wire.send(self._connection.send(h11.Data(data=data)))
 
     async def finish(self) -> None:
--- a/testing/router/test_faults.py
+++ b/testing/router/test_faults.py
@@ -225,6 +225,24 @@
             assert sum(it.runs_by_key[key] for it in running.plains) <= 1
 
 
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param(Faults(close_at_response_byte=0), id="closed"),
+        pytest.param(Faults(silent_at_response_byte=0), id="silent"),
+        pytest.param(Faults(malformed=Malformed.HEADER), id="malformed"),
+        pytest.param(Faults(truncated=True), id="truncated"),
+    ],
+)
+@pytest.mark.parametrize("headers", [(), (("Idempotency-Key", "k"),)], ids=["", "key"])
+@on_trio
+async def test_non_idempotent_call_is_never_sent_twice(faults, headers):
+    async with fleet(attempts=3, targets=2, expect=False) as running:
+        answer, runs = await call_under(running, faults, *headers)
+        check(answer, runs)
+        assert runs == 1
+
+
 @on_trio
 async def test_lookup_is_answered_by_another_target():
     async with fleet(attempts=2, targets=2) as running:
@@ -251,6 +269,16 @@
         assert outcome is Outcome.WHOLE
 
 
+@on_trio
+async def test_stream_that_ends_without_its_last_event_is_not_taken_for_whole():
+    async with fleet() as running:
+        for events in range(TOKENS + 1):
+            faults = Faults(end_stream_after_events=events, exchanges=1)
+            running.set_faults(running.engines, faults)
+            outcome, _ = await running.turn()
+            assert outcome is Outcome.BROKEN, (events, outcome)
+
+
 @on_trio
 async def test_stream_is_resumed_by_another_engine_wherever_it_closed():
     async with fleet(attempts=2, targets=2, resume=True) as running:
--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -16,6 +16,7 @@
 from yuccafold.standins import ChatMessage
 from yuccafold.standins import CostModel
 from yuccafold.standins import EngineSettings
+from yuccafold.standins import Faults
 from yuccafold.standins import GenerationSettings
 from yuccafold.standins import ModelEngine
 from yuccafold.standins import Order
@@ -97,6 +98,17 @@
     assert last["usage"]["completion_tokens"] == 6
 
 
+@on_trio
+async def test_stream_ends_cleanly_too_early_where_the_fault_says_so():
+    engine = engine_with()
+    async with serving(engine):
+        engine.server.set_faults(Faults(end_stream_after_events=2))
+        body = json.dumps(turn(stream=True, max_tokens=6)).encode()
+        raw = await exchange(engine.server, "POST", CHAT, body)
+    assert raw.count(b"data: ") == 2
+    assert raw.endswith(b"\r\n0\r\n\r\n")
+
+
 @on_trio
 async def test_next_turn_finds_the_earlier_ones_cached():
     engine = engine_with()
