--- a/testing/standins/test_engine.py
+++ b/testing/standins/test_engine.py
@@ -16,6 +16,7 @@
 from yuccafold.standins import ChatMessage
 from yuccafold.standins import CostModel
 from yuccafold.standins import EngineSettings
+from yuccafold.standins import Faults
 from yuccafold.standins import GenerationSettings
 from yuccafold.standins import ModelEngine
 from yuccafold.standins import Order
@@ -97,6 +98,17 @@
     assert last["usage"]["completion_tokens"] == 6
 
 
+@on_trio
+async def test_stream_ends_cleanly_too_early_where_the_fault_says_so():
+    engine = engine_with()
+    async with serving(engine):
+        engine.server.set_faults(Faults(end_stream_after_events=2))
+        body = json.dumps(turn(stream=True, max_tokens=6)).encode()
+        raw = await exchange(engine.server, "POST", CHAT, body)
+    assert raw.count(b"data: ") == 2
+    assert raw.endswith(b"\r\n0\r\n\r\n")
+
+
 @on_trio
 async def test_next_turn_finds_the_earlier_ones_cached():
     engine = engine_with()
@@ -192,6 +204,15 @@
     assert status == 409
 
 
+@on_trio
+async def test_engine_that_can_goes_on_with_the_answer_of_another():
+    engine = engine_with(resume_anywhere=True)
+    async with serving(engine):
+        resume = "Yuccafold-Resume: c9;from=2"
+        events = await streamed_events(engine, resume, max_tokens=6)
+    assert contents(events) == list(answer_tokens(ASKED, 6))[2:]
+
+
 def test_answer_is_not_resumed_after_its_time():
     async def check():
         engine = engine_with(resume_ms=5_000)
