--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -15,8 +15,6 @@
 from yuccafold.bench import Part
 from yuccafold.cli._command import ExitCode
 
-PARTS: dict[str, str] = {
-    "router": "yuccafold.bench._router",
 PARTS: dict[str, str] = {
     "router": "yuccafold.bench._router",
     "placement": "yuccafold.bench._placement",
