Keep the worst verdict over all attempts of a call

Cause: a lookup ran, its reply was lost, and the refusal of the next placement told the caller 'not run': the verdict of the last attempt alone was used. Change: the relay keeps the verdict over all attempts, which every refusal takes; a stream goes back to its own engine first, which can resume it; the stand-in counts no connection that carried no byte as an exchange, as it documents. Ruled out: the stand-in's own counting of runs (its record held one run). Measured: test_lookup_that_ran_is_not_refused_as_not_run failed before (503 not-run with 1 run) and passes; 123 router and stand-in tests pass. Conclusion: mended where the verdict is given out.

--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from itertools import count
 from typing import final
 
@@ -126,7 +127,9 @@
             if isinstance(decision, GiveUp):
                 await self._give_up(call, _failed(failed), relay)
                 break
-            excluded |= {TargetId(placement.target.id)}
+            if not (relay.started and failed.kind is FailureKind.CLOSED):
+                # Only a stream goes back at once: its engine can resume it.
+                excluded |= {TargetId(placement.target.id)}
             await trio.sleep(decision.delay_ms / MS_PER_SECOND)
         raise AssertionError("expected an answer or a refusal")
 
@@ -151,6 +154,7 @@
             await self._attempt(call, placement, body, relay)
             answered = True
         except AttemptFailed as failed:
+            relay.note(failed.verdict)
             await self._examine(call, placement.target, failed)
             return failed
         finally:
@@ -170,14 +174,14 @@
             headers = forwarded_headers(call, _traceparent(call)) + relay.resume_headers
             async with exchange(call, placement.target, self._pool) as attempt:
                 await attempt.open()
-                self._check_claim(call)
+                await self._check_claim(call, relay)
                 await self._exchange(call, placement, attempt, headers, body, relay)
 
-    def _check_claim(self, call: Call) -> None:
+    async def _check_claim(self, call: Call, relay: AnswerRelay) -> None:
         """Refuse to send under a claim that a pause or the time has voided."""
         lapsed = None if call.key is None else self._once.may_send(call)
         if lapsed is not None:
-            raise CallRefused(lapsed)
+            await self._give_up(call, lapsed, relay)
 
     async def _exchange(
         self,
@@ -262,6 +266,9 @@
 
     async def _give_up(self, call: Call, refusal: Refusal, relay: AnswerRelay) -> None:
         """Refuse the call, or break its answer off when a part is out."""
+        if refusal.verdict.rank < relay.verdict.rank:
+            # An earlier attempt may have run, whatever the last one came to.
+            refusal = replace(refusal, verdict=relay.verdict)
         self._telemetry.metrics.verdicts.add(
             1, {"service": call.service, "verdict": refusal.verdict.value}
         )
--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -11,6 +11,7 @@
 
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
+from yuccafold._verdict import VerdictRecord
 from yuccafold.router._body import CallerGone
 from yuccafold.router._call import Call
 from yuccafold.router._http import Headers
@@ -44,12 +45,23 @@
         self._stream = False
         self._stored: StoredAnswer | None = None
         self._caller_left = False
+        self._record = VerdictRecord()
 
     @property
     def started(self) -> bool:
         """Whether a part of the answer is out."""
         return self._responder.started
 
+    @property
+    def verdict(self) -> Verdict:
+        """What is known of the call over all attempts so far."""
+        return self._record.verdict
+
+    def note(self, verdict: Verdict) -> None:
+        """Take the verdict of one attempt; it never makes a call less run."""
+        if verdict.rank > self.verdict.rank:
+            self._record.advance(verdict)
+
     @property
     def stored(self) -> StoredAnswer | None:
         """The whole answer, if it was small enough to keep."""
--- a/src/yuccafold/standins/_wire.py
+++ b/src/yuccafold/standins/_wire.py
@@ -74,7 +74,9 @@
     async def receive(self) -> bytes:
         """Return the next bytes, or none at the connection's end."""
         if self._faults is None:
-            await trio.lowlevel.wait_readable(self._stream.socket)
+            # A connection that closes without a byte is no exchange.
+            if not await self._stream.socket.recv(1, socket.MSG_PEEK):
+                return b""
             self._faults = self._take_faults()
         end = self.faults.close_at_request_byte
         if end is not None and self._received >= end:
--- a/testing/router/test_faults.py
+++ b/testing/router/test_faults.py
@@ -21,7 +21,6 @@
 from yuccafold.load import LoadReport
 from yuccafold.load import Outcome
 from yuccafold.router import Router
-from yuccafold.settings import parse_tree
 from yuccafold.standins import NO_FAULTS
 from yuccafold.standins import CostModel
 from yuccafold.standins import EngineSettings
@@ -119,6 +118,9 @@
         traits = {"resume": resume, "expect_continue": expect}
         router = Router(process(), settings_tree(running, traits, attempts), seed=1)
         running.address = (await nursery.start(router.serve)).callers
+        await router.state.became_ready.wait()
+        while router.control.plane.once.is_recovering(router.clock.now()):
+            await trio.sleep(0.01)
         yield running
         router.kill()
         nursery.cancel_scope.cancel()
@@ -153,7 +155,7 @@
         },
         "accounts": {"acme": {"keys": [hashlib.sha256(KEY.encode()).hexdigest()]}},
     }
-    return parse_tree(yaml.safe_dump(value)).unwrap()
+    return yaml.safe_dump(value)
 
 
 def check(answer, runs):
@@ -387,3 +389,12 @@
         await nursery.start(running.plain.serve)
         assert (await running.call()).is_own
         nursery.cancel_scope.cancel()
+
+
+@on_trio
+async def test_lookup_that_ran_is_not_refused_as_not_run():
+    async with fleet(attempts=2, targets=1) as running:
+        running.plain.server.set_faults(Faults(close_at_response_byte=0, exchanges=1))
+        answer = await running.call("GET")
+        assert running.runs
+        assert answer.verdict != "not-run"
