Give operators their client, and callers the trace they are part of

Cause: the operator port had no client and answers carried no trace. Change: yuccafold status, targets, peers, chats, explain, quarantine and settings status, as tables or JSON with exit codes; a traceparent header and a reason phrase in answers. Conclusion: complete for one router; the fleet's view comes with real peers.

--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -19,6 +19,16 @@
             "check and show settings files",
             "yuccafold.cli._settings",
         ),
+        Command("status", "whether and why a router refuses", "yuccafold.cli._status"),
+        Command("targets", "targets, state and owner", "yuccafold.cli._targets"),
+        Command("peers", "VMs that a router knows", "yuccafold.cli._peers"),
+        Command("chats", "chats placed last", "yuccafold.cli._chats"),
+        Command("explain", "where a chat goes and why", "yuccafold.cli._explain"),
+        Command(
+            "quarantine",
+            "requests that killed targets",
+            "yuccafold.cli._quarantine",
+        ),
         Command("demo", "show a small fleet on loopback", "yuccafold.cli._demo"),
         Command("load", "send load and check every answer", "yuccafold.cli._load"),
         Command(
--- a/src/yuccafold/cli/_settings.py
+++ b/src/yuccafold/cli/_settings.py
@@ -17,6 +17,10 @@
 from yuccafold._ids import AccountId
 from yuccafold._ids import ServiceId
 from yuccafold.cli._command import ExitCode
+from yuccafold.cli._operator import Page
+from yuccafold.cli._operator import define_operator
+from yuccafold.cli._operator import render_pairs
+from yuccafold.cli._operator import show
 from yuccafold.settings import ProcessSettings
 from yuccafold.settings import SettingsTree
 from yuccafold.settings import explain_policy
@@ -27,7 +31,9 @@
 USAGE = """\
 expected: yuccafold settings check FILE
           yuccafold settings show FILE --service=NAME --account=NAME
-          yuccafold settings diff OLD NEW"""
+          yuccafold settings diff OLD NEW
+          yuccafold settings status [--operator=ADDRESS]"""
+STATUS_PAGE = Page("/settings/status", render_pairs)
 
 
 def define(values: flags.FlagValues) -> None:
@@ -41,7 +47,7 @@
     )
     flags.DEFINE_string("service", None, "The service to show.", flag_values=values)
     flags.DEFINE_string("account", None, "The account to show.", flag_values=values)
-    flags.DEFINE_bool("json", False, "Print JSON for programs.", flag_values=values)
+    define_operator(values)
 
 
 def run(values: flags.FlagValues, arguments: Sequence[str]) -> int:
@@ -50,6 +56,7 @@
         ("check", 1): _check,
         ("show", 1): _show,
         ("diff", 2): _diff,
+        ("status", 0): _status,
     }
     command = commands.get((arguments[0], len(arguments) - 1)) if arguments else None
     if command is None:
@@ -71,6 +78,11 @@
     return ExitCode.OK
 
 
+def _status(values: flags.FlagValues) -> int:
+    """Print which VM is on which revision, as one router knows it."""
+    return show(STATUS_PAGE, values, ())
+
+
 def _show(values: flags.FlagValues, name: str) -> int:
     """Print the policy in force and the level that each value comes from."""
     checked = _read(name)
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -27,6 +27,7 @@
 from yuccafold.router._errors import error_answer
 from yuccafold.router._forward import Forwarder
 from yuccafold.router._forward import context_of
+from yuccafold.router._forward import traceparent
 from yuccafold.router._http import Headers
 from yuccafold.router._http import HttpStream
 from yuccafold.router._http import first_value
@@ -249,6 +250,9 @@
             span.set_attribute("yuccafold.service", call.service)
             span.set_attribute("yuccafold.account", call.account)
             span.set_attribute("yuccafold.revision", call.revision)
+            present = traceparent()
+            if present is not None:
+                responder.add_header(b"traceparent", present.encode())
             await self._forwarder.forward(call, body, responder)
 
     async def _out_of_time(self, call: Call, responder: Responder) -> None:
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -38,6 +38,7 @@
 from yuccafold.router._interfaces import Placement
 from yuccafold.router._interfaces import RequestGuard
 from yuccafold.router._interfaces import StoredAnswer
+from yuccafold.router._recent import RecentChats
 from yuccafold.router._relay import AnswerRelay
 from yuccafold.router._responder import Responder
 from yuccafold.router._upstream import AttemptFailed
@@ -68,6 +69,7 @@
         once: OnceGate,
         guard: RequestGuard,
         telemetry: Telemetry,
+        recent: RecentChats,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -76,6 +78,7 @@
         self._once = once
         self._guard = guard
         self._telemetry = telemetry
+        self._recent = recent
         self._budget = RetryBudget()
 
     async def forward(
@@ -140,6 +143,7 @@
         if isinstance(admitted, Err):
             await self._give_up(call, admitted.err_value, relay)
             raise AssertionError("expected a refusal to end the call")
+        self._recent.note(call, admitted.ok_value, self._clock.now())
         return admitted.ok_value
 
     async def _try(
@@ -171,7 +175,7 @@
         ) as span:
             span.set_attribute("yuccafold.target", placement.target.id)
             span.set_attribute("yuccafold.placement", placement.reason)
-            headers = forwarded_headers(call, _traceparent(call)) + relay.resume_headers
+            headers = forwarded_headers(call, traceparent()) + relay.resume_headers
             async with exchange(call, placement.target, self._pool) as attempt:
                 await attempt.open()
                 await self._check_claim(call, relay)
@@ -328,11 +332,11 @@
     return PROPAGATOR.extract({"traceparent": call.traceparent})
 
 
-def _traceparent(call: Call) -> str | None:
-    """Return the header of the present span."""
+def traceparent() -> str | None:
+    """Return the trace header of the present span, if there is one."""
     carrier: dict[str, str] = {}
     PROPAGATOR.inject(carrier)
-    return carrier.get("traceparent", call.traceparent)
+    return carrier.get("traceparent")
 
 
 async def _replay(answer: StoredAnswer, responder: Responder) -> None:
--- a/src/yuccafold/router/_responder.py
+++ b/src/yuccafold/router/_responder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import final
 
 import h11
@@ -15,6 +16,7 @@
 from yuccafold.router._http import HttpStream
 
 EVENT_STREAM = "text/event-stream"
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 @final
@@ -54,13 +56,19 @@
         """Whether the answer was given up before its end."""
         return self._broken
 
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Send a header with whatever is answered; before ``start``."""
+        self._base += ((name, value),)
+
     async def start(self, status: int, headers: Headers, event_stream: bool) -> None:
         """Take the head; it travels with the first bytes of the body."""
         closing = ((b"Connection", b"close"),) if self._close else ()
         self._status = status
         self._is_event_stream = event_stream
         response = h11.Response(
-            status_code=status, headers=headers + self._base + closing
+            status_code=status,
+            headers=headers + self._base + closing,
+            reason=REASONS.get(status, b""),
         )
         self._head = self._http.encode(response)
         if event_stream:
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -29,6 +29,7 @@
 from yuccafold.router._listener import Listener
 from yuccafold.router._operator import OperatorPort
 from yuccafold.router._platform import PlatformTasks
+from yuccafold.router._recent import RecentChats
 from yuccafold.router._refusals import RefusalLog
 from yuccafold.router._state import RouterState
 from yuccafold.router._status import StatusPages
@@ -85,6 +86,7 @@
         self._platform = PlatformTasks(
             settings, self._control, self._network, self._clock, self._rng
         )
+        self._recent = RecentChats()
         self._forwarder = Forwarder(
             self._clock,
             self._rng,
@@ -93,6 +95,7 @@
             FleetOnce(self._control, self._clock),
             FleetGuard(self._control),
             self._telemetry,
+            self._recent,
         )
         self._refusals = RefusalLog()
         self._connections: set[CallerConnection] = set()
@@ -167,6 +170,7 @@
             self._network,
             self._clock,
             self._refusals,
+            self._recent,
         )
         port = OperatorPort(pages.handlers())
         supervisor = Supervisor("router", self._clock, self._rng)
--- a/src/yuccafold/router/_status.py
+++ b/src/yuccafold/router/_status.py
@@ -20,6 +20,7 @@
 from yuccafold.router._operator import Handler
 from yuccafold.router._operator import OperatorAnswer
 from yuccafold.router._operator import OperatorRequest
+from yuccafold.router._recent import RecentChats
 from yuccafold.router._refusals import RefusalCount
 from yuccafold.router._refusals import RefusalLog
 from yuccafold.router._state import RouterState
@@ -40,6 +41,7 @@
         network: PeerNetwork,
         clock: Clock,
         refusals: RefusalLog,
+        recent: RecentChats,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -48,6 +50,7 @@
         self._network = network
         self._clock = clock
         self._refusals = refusals
+        self._recent = recent
 
     def handlers(self) -> dict[tuple[str, str], Handler]:
         """Return the pages by method and path."""
@@ -62,6 +65,7 @@
             ("GET", "/quarantine"): self._quarantine,
             ("POST", "/quarantine/lift"): self._lift,
             ("GET", "/explain"): self._explain,
+            ("GET", "/chats"): self._chats,
         }
 
     async def _live(self, request: OperatorRequest) -> OperatorAnswer:
@@ -188,6 +192,22 @@
         await command.reply.wait()
         return OperatorAnswer(200, {"lifted": named})
 
+    async def _chats(self, request: OperatorRequest) -> OperatorAnswer:
+        now = self._clock.now()
+        rows = [
+            {
+                "chat": chat.chat,
+                "service": chat.service,
+                "account": chat.account,
+                "target": chat.target,
+                "ms_ago": now - chat.at,
+                "revision": chat.revision,
+                "reason": chat.reason,
+            }
+            for chat in self._recent.latest()
+        ]
+        return OperatorAnswer(200, rows)
+
     async def _explain(self, request: OperatorRequest) -> OperatorAnswer:
         service = ServiceId(request.query.get("service", ""))
         chat = request.query.get("chat")
