Add seeded chaos runs and hold back lethal requests across the fleet

Cause: the protocols' worth lies in how VMs act together under faults, which tests of one object don't reach.

It found, and this mends: a call refused as not run after an earlier attempt that may have run (CallVerdict); VM-list exchange that grew with doubled messages; a VM that was unlisted when strikes were reported and never learned them (strikes are now compared with one VM every two seconds).

--- /dev/null
+++ b/src/yuccafold/chaos/_calls.py
@@ -0,0 +1,63 @@
+"""Operations that callers want done, their calls and what came of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import final
+
+from yuccafold._ids import CallId
+from yuccafold._ids import ServiceId
+from yuccafold._verdict import Refusal
+from yuccafold._verdict import Verdict
+from yuccafold.delivery import ClaimKey
+
+BOOKINGS = ServiceId("bookings")
+ENGINES = ServiceId("engines")
+
+
+class Kind(Enum):
+    """What an operation asks for."""
+
+    BOOKING = "booking"
+    LOOKUP = "lookup"
+    CHAT = "chat"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """Something that a caller wants done once; only a booking has a key."""
+
+    kind: Kind
+    body: bytes
+    key: ClaimKey | None = None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One try of a caller at an operation."""
+
+    id: CallId
+    operation: Operation
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a caller got: an answer, which it takes for whole, or a refusal."""
+
+    verdict: Verdict
+    code: str
+    body: bytes | None = None
+    retry_after_ms: int = 0
+
+    @classmethod
+    def refused(cls, refusal: Refusal) -> Outcome:
+        """Return the outcome of a refused call."""
+        return cls(refusal.verdict, refusal.code, retry_after_ms=refusal.retry_after_ms)
+
+
+Respond = Callable[[Outcome], None]
--- /dev/null
+++ b/src/yuccafold/cli/_chaos.py
@@ -0,0 +1,87 @@
+"""``yuccafold chaos``: seeded runs of the delivery decisions under faults."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from absl import flags
+
+from yuccafold.chaos import PROTECTIONS
+from yuccafold.chaos import ChaosResult
+from yuccafold.chaos import run_without
+from yuccafold.cli._command import ExitCode
+
+TRACES = Path("chaos-traces")
+
+
+def define(values: flags.FlagValues) -> None:
+    """Define the command's flags."""
+    flags.DEFINE_integer("seed", 1, "Seed of every random choice.", flag_values=values)
+    flags.DEFINE_enum(
+        "disable",
+        None,
+        sorted(PROTECTIONS),
+        "Take one protection away, which the run should notice.",
+        flag_values=values,
+    )
+    flags.DEFINE_bool(
+        "prove",
+        False,
+        "Take each protection away in turn, with a seed that notices it.",
+        flag_values=values,
+    )
+
+
+def run(values: flags.FlagValues, arguments: Sequence[str]) -> int:
+    """Run one seed, or the proof that runs can fail."""
+    if arguments:
+        print(f"expected no arguments, got {list(arguments)}", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    if values["prove"].value:
+        return _prove()
+    result = run_without(values["disable"].value, values["seed"].value)
+    _print(result, _write_trace(result))
+    return ExitCode.FAILED if result.violations else ExitCode.OK
+
+
+def _prove() -> int:
+    """Print, for each protection, what the run without it broke."""
+    uncaught = 0
+    for name, protection in PROTECTIONS.items():
+        result = run_without(name, protection.seed)
+        uncaught += not result.violations
+        found = result.violations[0] if result.violations else "NOT CAUGHT"
+        print(f"{name:22} seed={protection.seed:<4} {found}", flush=True)
+    print(f"{len(PROTECTIONS) - uncaught} caught, {uncaught} not caught")
+    return ExitCode.FAILED if uncaught else ExitCode.OK
+
+
+def _write_trace(result: ChaosResult) -> Path:
+    TRACES.mkdir(exist_ok=True)
+    path = TRACES / f"{result.seed}.txt"
+    lines = [*result.trace, *(f"violation: {each}" for each in result.violations)]
+    path.write_text("\n".join(lines) + "\n")
+    return path
+
+
+def _print(result: ChaosResult, trace: Path) -> None:
+    rows = (
+        ("seed", result.seed),
+        ("trace", trace),
+        ("calls", result.calls),
+        ("answered", result.answered),
+        ("refused as not run", result.refused_not_run),
+        ("may have run", result.may_have_run),
+        ("without a response", result.unanswered),
+        ("runs of more than one", result.runs_of_more_than_one),
+        ("false not-run", result.false_not_run),
+        ("partial taken as whole", result.partial_as_whole),
+        ("another call's answer", result.wrong_answers),
+        ("engines lost to one request", result.engines_lost),
+    )
+    for name, value in rows:
+        print(f"{name:28} {value}")
+    for violation in result.violations:
+        print(f"violation: {violation}")
--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -18,6 +18,11 @@
             "check and show settings files",
             "yuccafold.cli._settings",
         ),
+        Command(
+            "chaos",
+            "run the delivery decisions under seeded faults",
+            "yuccafold.cli._chaos",
+        ),
         Command("bench", "measure on this machine", "yuccafold.cli._bench"),
     )
 }
--- a/src/yuccafold/delivery/__init__.py
+++ b/src/yuccafold/delivery/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from yuccafold.delivery._call_verdict import CallVerdict
 from yuccafold.delivery._keys import BodyDigest
 from yuccafold.delivery._keys import ClaimId
 from yuccafold.delivery._keys import ClaimKey
@@ -10,7 +11,8 @@
 from yuccafold.delivery._keys import claim_key
 from yuccafold.delivery._keys import fingerprint
 from yuccafold.delivery._ledger import OnceLedger
-from yuccafold.delivery._messages import MESSAGES
+from yuccafold.delivery._messages import CLAIM_MESSAGES
+from yuccafold.delivery._messages import QUARANTINE_MESSAGES
 from yuccafold.delivery._messages import HeaderField
 from yuccafold.delivery._messages import Member
 from yuccafold.delivery._messages import StoredAnswer
@@ -38,15 +40,19 @@
 from yuccafold.delivery._retry import backoff
 from yuccafold.delivery._retry import decide_retry
 from yuccafold.delivery._retry import hedge_delay
+from yuccafold.delivery._streams import StreamEnd
+from yuccafold.delivery._streams import StreamProgress
 from yuccafold.delivery._strikes import Standing
 from yuccafold.delivery._strikes import Suspect
 from yuccafold.delivery._timing import ClaimTiming
 from yuccafold.delivery._views import View
 
 __all__ = [
-    "MESSAGES",
+    "CLAIM_MESSAGES",
+    "QUARANTINE_MESSAGES",
     "AttemptEnd",
     "BodyDigest",
+    "CallVerdict",
     "ClaimId",
     "ClaimKey",
     "ClaimOutcome",
@@ -70,6 +76,8 @@
     "SentReport",
     "Standing",
     "StoredAnswer",
+    "StreamEnd",
+    "StreamProgress",
     "StrikeId",
     "StrikesSpread",
     "Suspect",
--- a/src/yuccafold/delivery/_attempt.py
+++ b/src/yuccafold/delivery/_attempt.py
@@ -70,6 +70,7 @@
     views: dict[ViewDigest, tuple[VmId, ...]] = field(default_factory=dict)
     votes: dict[VmId, ClaimVote] = field(default_factory=dict)
     asked: set[VmId] = field(default_factory=set)
+    asked_again: set[VmId] = field(default_factory=set)
     blocker: ClaimVote | None = None
 
     @property
@@ -79,11 +80,16 @@
 
     def count_with(self, views: Iterable[View], seats: int) -> bool:
         """Count with ``views``; return whether that began a new round."""
-        found = {view.digest: view.seats(self.key, seats) for view in views}
-        if found.keys() <= self.views.keys():
+        found = {
+            view.digest: view.seats(self.key, seats)
+            for view in views
+            if view.digest not in self.views
+        }
+        if not found:
             return False
         self.views.update(found)
         self.votes.clear()
+        self.asked_again.clear()
         self.round += 1
         return True
 
--- a/src/yuccafold/delivery/_claimant.py
+++ b/src/yuccafold/delivery/_claimant.py
@@ -107,7 +107,7 @@
             wait_until=Milliseconds(now + self._timing.window),
             next_resend=Milliseconds(now + self._timing.resend),
         )
-        attempt.count_with(self._views.live(now), self._seats)
+        attempt.count_with(self._views.counted(now), self._seats)
         self._attempts[claim] = attempt
         self._by_call[call] = attempt
         return self._ask_seats(attempt, attempt.seats)
@@ -173,14 +173,17 @@
     ) -> list[Outgoing]:
         """End ``call``: release its claim if it did not run, else keep it.
 
-        A call that is unknown, because it was refused, is ignored.
+        A call that is unknown, because it was refused, is ignored. One that was
+        sent ends as not run only after ``rearm``.
         """
         attempt = self._by_call.get(call)
         if attempt is None:
             return []
-        if verdict is Verdict.NOT_RUN:
+        was_sent = attempt.state is AttemptState.SENT
+        did_run = verdict is not Verdict.NOT_RUN
+        assert was_sent == did_run, f"{call} is {attempt.state}, ended as {verdict}"
+        if not did_run:
             return self._release(attempt, now)
-        assert attempt.state is AttemptState.SENT, f"{call} ran as {attempt.state}"
         del self._by_call[call]
         if verdict is Verdict.MAY_HAVE_RUN:
             attempt.state = AttemptState.UNCERTAIN
@@ -243,8 +246,12 @@
             if vote.unknown
             else []
         )
-        if attempt.count_with(self._views.live(now), self._seats):
+        if attempt.count_with(self._views.counted(now), self._seats):
             return announce + self._ask_seats(attempt, attempt.seats)
+        # At once only once per round: doubled votes must not multiply.
+        if sender in attempt.asked_again:
+            return []
+        attempt.asked_again.add(sender)
         return announce + self._ask_seats(attempt, (sender,))
 
     def _conclude(self, attempt: Attempt, now: Milliseconds) -> list[Outgoing]:
@@ -303,6 +310,7 @@
         if now < attempt.next_resend:
             return []
         attempt.next_resend = Milliseconds(now + self._timing.resend)
+        attempt.asked_again.clear()
         silent = tuple(vm for vm in attempt.seats if vm not in attempt.votes)
         return self._ask_seats(attempt, silent)
 
--- a/src/yuccafold/delivery/_ledger.py
+++ b/src/yuccafold/delivery/_ledger.py
@@ -152,6 +152,7 @@
         self.observe_pause(now)
         if now >= self._next_sweep:
             self._next_sweep = Milliseconds(now + SWEEP_INTERVAL)
+            self._views.expire(now)
             self._voter.expire(now)
             self._claimant.expire(now)
         outgoing = self._claimant.tick(now) + self._recovery.tick(now)
--- a/src/yuccafold/delivery/_messages.py
+++ b/src/yuccafold/delivery/_messages.py
@@ -309,10 +309,12 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StrikesRequest:
-    """A VM that started asks for the strikes in force."""
+    """Asks for the strikes in force, unless they have the asker's ``digest``."""
 
+    digest: int
 
-MESSAGES = (
+
+CLAIM_MESSAGES = (
     ("view-announce", ViewAnnounce),
     ("claim-request", ClaimRequest),
     ("claim-vote", ClaimVote),
@@ -323,6 +325,10 @@
     ("answer-reply", AnswerReply),
     ("recovery-request", RecoveryRequest),
     ("recovery-page", RecoveryPage),
+)
+"""The kind on the wire and the class of the messages for ``OnceLedger``."""
+
+QUARANTINE_MESSAGES = (
     ("strike-report", StrikeReport),
     ("strike-ack", StrikeAck),
     ("strikes-cleared", StrikesCleared),
@@ -331,12 +337,12 @@
     ("trial-ended", TrialEnded),
     ("strikes-request", StrikesRequest),
 )
-"""The kind on the wire and the class of every message of this package."""
+"""The kind on the wire and the class of the messages for ``Quarantine``."""
 
 
 def register_messages() -> None:
     """Register every message of this package with the peer codec."""
     from yuccafold.fleet import register
 
-    for kind, message in MESSAGES:
+    for kind, message in CLAIM_MESSAGES + QUARANTINE_MESSAGES:
         register(kind, message)
--- a/src/yuccafold/delivery/_quarantine.py
+++ b/src/yuccafold/delivery/_quarantine.py
@@ -44,6 +44,11 @@
 SYNC_LIMIT = Milliseconds(2_000)
 """A VM that started grants no trial until it knows the strikes, or this long."""
 
+COMPARE_INTERVAL = Milliseconds(2_000)
+"""How often strikes are compared with one other VM."""
+
+LISTED_LATELY = Milliseconds(60_000)
+
 UNPROCESSABLE = 422
 UNAVAILABLE = 503
 
@@ -97,6 +102,7 @@
         self._vm = vm
         self._rng = rng
         self._view = View(())
+        self._listed: dict[VmId, Milliseconds] = {}
         self._strikes = StrikeTable()
         self._arbiter = TrialArbiter(self._strikes)
         self._reports = Reports()
@@ -109,6 +115,9 @@
     def confirm_view(self, view: View, now: Milliseconds) -> None:
         """Take ``view`` as the present VM list."""
         self._view = view
+        self._listed.update(dict.fromkeys(view.vms, now))
+        oldest = now - LISTED_LATELY
+        self._listed = {vm: at for vm, at in self._listed.items() if at >= oldest}
 
     def standing(self, fingerprint: Fingerprint, now: Milliseconds) -> Standing:
         """Return what this VM knows of a request.
@@ -235,7 +244,8 @@
         return self._rng.getrandbits(48) + 1
 
     def _others(self) -> tuple[VmId, ...]:
-        return tuple(sorted(self._view.vms - {self._vm}))
+        """Return the other VMs listed lately; lists lag, so some still serve."""
+        return tuple(sorted(self._listed.keys() - {self._vm}))
 
     def _find(self, call: CallId) -> _Trial | None:
         trials = self._trials.values()
@@ -256,10 +266,15 @@
         self._outcomes += map(StrikesSpread, self._reports.take_spread(now))
 
     def _sync(self, now: Milliseconds) -> list[Outgoing]:
-        if self._is_synced or now < self._next_sync or not self._others():
+        """Compare strikes: at first with everyone, later with one VM at a time."""
+        others = self._others()
+        if now < self._next_sync or not others:
             return []
-        self._next_sync = Milliseconds(now + TRIAL_RESEND)
-        return [Outgoing(vm, StrikesRequest()) for vm in self._others()]
+        asked = others if not self._is_synced else (self._rng.choice(others),)
+        wait = COMPARE_INTERVAL if self._is_synced else TRIAL_RESEND
+        self._next_sync = Milliseconds(now + wait)
+        request = StrikesRequest(self._strikes.digest(now))
+        return [Outgoing(vm, request) for vm in asked]
 
     def _may_arbitrate(self, now: Milliseconds) -> bool:
         return self._is_synced or now >= self._sync_until or not self._others()
@@ -329,7 +344,13 @@
     ) -> list[Outgoing]:
         if not self._is_synced and now < self._sync_until:
             return []
-        return [Outgoing(sender, StrikeReport(0, self._strikes.strikes(now)))]
+        strikes = self._strikes.strikes(now)
+        if message.digest == self._strikes.digest(now):
+            strikes, cleared = (), ()
+        else:
+            cleared = self._strikes.cleared(now)
+        answers = (StrikeReport(0, strikes), *cleared)
+        return [Outgoing(sender, each) for each in answers]
 
     @_take.register
     def _(
--- a/src/yuccafold/delivery/_recovery.py
+++ b/src/yuccafold/delivery/_recovery.py
@@ -82,7 +82,7 @@
             return []
         self._next_round = Milliseconds(now + self._timing.window)
         wanted: dict[VmId, list[ViewDigest]] = defaultdict(list)
-        for view in self._views.live(now):
+        for view in self._views.counted(now):
             if self._is_covered(view):
                 continue
             for vm in view.vms - self._read[view.digest] - {self._vm}:
--- a/src/yuccafold/delivery/_strikes.py
+++ b/src/yuccafold/delivery/_strikes.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
 from typing import final
 
+import xxhash
+
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import ServiceId
 from yuccafold.delivery._keys import Fingerprint
 from yuccafold.delivery._messages import Strike
 from yuccafold.delivery._messages import StrikeId
+from yuccafold.delivery._messages import StrikesCleared
 
 MAX_FINGERPRINTS = 4_096
 """Fingerprints with strikes; when more come, those that lapse first go."""
@@ -135,6 +139,28 @@
             if entry.lapses > now
         )
 
+    def digest(self, now: Milliseconds) -> int:
+        """Return a digest that is equal where the strikes are."""
+        return xxhash.xxh64_intdigest(
+            b"".join(
+                each.fingerprint + repr(each.id).encode() for each in self.strikes(now)
+            )
+        )
+
+    def cleared(self, now: Milliseconds) -> tuple[StrikesCleared, ...]:
+        """Return the strikes taken back whose reports may still come."""
+        by_print: dict[Fingerprint, list[StrikeId]] = defaultdict(list)
+        for fingerprint, strike in self._cleared:
+            by_print[fingerprint].append(strike)
+        return tuple(
+            StrikesCleared(
+                fingerprint,
+                tuple(sorted(strikes)),
+                max(self._cleared[fingerprint, each] for each in strikes) - now,
+            )
+            for fingerprint, strikes in sorted(by_print.items())
+        )
+
     def expire(self, now: Milliseconds) -> None:
         """Forget what lapsed."""
         for fingerprint in tuple(self._entries):
--- a/src/yuccafold/delivery/_timing.py
+++ b/src/yuccafold/delivery/_timing.py
@@ -23,8 +23,12 @@
     ``resend``: an unanswered message is sent again after it.
     ``grace``: longer than a message takes; covers clock drift within ``hold``.
     ``hold``: how long a seat holds a claim, and how long one that restarted may
-    have forgotten claims. ``list_lag``: how old a confirmed VM list may be.
-    ``view_life``: how long a superseded VM list is still counted with.
+    have forgotten claims. ``list_fresh``: how long ago the VM list must have been
+    confirmed; the other half of the list lag is left to the platform's replicas.
+    ``view_demand``: how long a superseded VM list is demanded of claimants,
+    ``view_count``: counted with by a claimant and ``view_life``: known. The gaps
+    between these exceed the time of messages, so that two VMs which tell each
+    other of a list can't keep it alive for ever.
     """
 
     window: Milliseconds
@@ -32,7 +36,9 @@
     resend: Milliseconds
     grace: Milliseconds
     hold: Milliseconds
-    list_lag: Milliseconds
+    list_fresh: Milliseconds
+    view_demand: Milliseconds
+    view_count: Milliseconds
     view_life: Milliseconds
 
     @classmethod
@@ -43,12 +49,15 @@
         validity = min(LONGEST_SEND_VALIDITY, max(1, lifetime // 4))
         grace = min(LONGEST_GRACE, max(1, lifetime // 4))
         hold = lifetime + window + validity + grace
+        demand = hold + settings.list_lag_ms
         return cls(
             window=Milliseconds(window),
             send_validity=Milliseconds(validity),
             resend=Milliseconds(max(1, window // 4)),
             grace=Milliseconds(grace),
             hold=Milliseconds(hold),
-            list_lag=Milliseconds(settings.list_lag_ms),
-            view_life=Milliseconds(hold + settings.list_lag_ms + grace),
+            list_fresh=Milliseconds(max(1, settings.list_lag_ms // 2)),
+            view_demand=Milliseconds(demand),
+            view_count=Milliseconds(demand + grace),
+            view_life=Milliseconds(demand + 2 * grace),
         )
--- a/src/yuccafold/delivery/_views.py
+++ b/src/yuccafold/delivery/_views.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from itertools import chain
 from typing import final
 
 import xxhash
@@ -63,7 +62,11 @@
 
 @final
 class ViewHistory:
-    """The VM lists that were the platform's within the last ``view_life``."""
+    """The VM lists that were the platform's lately.
+
+    Memory is bounded by ``expire`` and by what the platform publishes; with
+    more than ``MAX_VIEWS`` lists at once no claim is made.
+    """
 
     def __init__(self, timing: ClaimTiming) -> None:
         self._timing = timing
@@ -94,50 +97,50 @@
         """Count with a list that a peer counts with."""
         self._note(View(record.members), Milliseconds(now - max(0, record.age_ms)))
 
-    def live(self, now: Milliseconds) -> tuple[View, ...]:
-        """Return the lists to count with, and forget the older ones."""
-        oldest = now - self._timing.view_life
-        lapsed = [
-            digest for digest, last in self._last_current.items() if last < oldest
-        ]
-        for digest in lapsed:
-            del self._views[digest]
-            del self._last_current[digest]
-        return tuple(self._views.values())
+    def counted(self, now: Milliseconds) -> tuple[View, ...]:
+        """Return the lists in which a claim needs a majority."""
+        return self._younger_than(self._timing.view_count, now)
 
     def find(self, digest: ViewDigest) -> View | None:
         """Return the list with ``digest`` if it is counted with."""
         return self._views.get(digest)
 
     def records(self, now: Milliseconds) -> tuple[ViewRecord, ...]:
-        """Return the lists that peers should count with.
-
-        A list about to lapse is not passed on: otherwise two VMs could keep
-        it alive between them by the time that messages take.
-        """
-        return self.missing((), now)
+        """Return the lists that this VM counts with, to tell a peer."""
+        return tuple(self._record(view, now) for view in self.counted(now))
 
     def missing(
         self, digests: Iterable[ViewDigest], now: Milliseconds
     ) -> tuple[ViewRecord, ...]:
-        """Return the records of lists that ``digests`` leaves out."""
+        """Return the lists that a claimant who counts with ``digests`` leaves out."""
         known = frozenset(digests)
-        oldest = now - self._timing.view_life + self._timing.grace
         return tuple(
-            ViewRecord(view.members, max(0, now - self._last_current[view.digest]))
-            for view in self.live(now)
-            if view.digest not in known and self._last_current[view.digest] > oldest
+            self._record(view, now)
+            for view in self._younger_than(self._timing.view_demand, now)
+            if view.digest not in known
         )
 
-    def everyone(self, now: Milliseconds) -> frozenset[VmId]:
-        """Return all VMs of the lists that are counted with."""
-        return frozenset(chain.from_iterable(view.vms for view in self.live(now)))
-
     def is_fresh(self, now: Milliseconds, since: Milliseconds) -> bool:
         """Return whether a list was confirmed lately, and not before ``since``."""
-        if self._confirmed is None or len(self.live(now)) > MAX_VIEWS:
+        if self._confirmed is None or len(self.counted(now)) > MAX_VIEWS:
             return False
-        return self._confirmed >= max(since, now - self._timing.list_lag)
+        return self._confirmed >= max(since, now - self._timing.list_fresh)
+
+    def expire(self, now: Milliseconds) -> None:
+        """Forget the lists that no claim can count with."""
+        kept = self._younger_than(self._timing.view_life, now)
+        self._views = {view.digest: view for view in kept}
+        self._last_current = {each: self._last_current[each] for each in self._views}
+
+    def _younger_than(self, age: int, now: Milliseconds) -> tuple[View, ...]:
+        return tuple(
+            view
+            for digest, view in self._views.items()
+            if self._last_current[digest] >= now - age
+        )
+
+    def _record(self, view: View, now: Milliseconds) -> ViewRecord:
+        return ViewRecord(view.members, max(0, now - self._last_current[view.digest]))
 
     def _note(self, view: View, last: Milliseconds) -> None:
         self._views.setdefault(view.digest, view)
