--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -36,6 +36,11 @@
             "start a stand-in target or platform service",
             "yuccafold.cli._standin",
         ),
+        Command(
+            "chaos",
+            "run the delivery decisions under seeded faults",
+            "yuccafold.cli._chaos",
+        ),
         Command("bench", "measure on this machine", "yuccafold.cli._bench"),
     )
 }
