--- a/src/yuccafold/bench/_arrivals.py
+++ b/src/yuccafold/bench/_arrivals.py
@@ -22,11 +22,12 @@
 @final
 @dataclass(frozen=True, slots=True)
 class ArrivalSettings:
-    """The size of the load; pauses are log-normal around their median."""
+    """The size of the load; pauses after an answer are log-normal."""
 
     turns_per_second: float
     duration_ms: int
     median_pause_ms: int
+    answer_ms: int
     accounts: int = 10
     zipf_exponent: float = 1.1
     pause_sigma: float = 1.3
@@ -73,7 +74,8 @@
     def _pause(self) -> int:
         settings = self._settings
         median = math.log(settings.median_pause_ms)
-        return round(self._rng.lognormvariate(median, settings.pause_sigma))
+        pause = self._rng.lognormvariate(median, settings.pause_sigma)
+        return settings.answer_ms + round(pause)
 
     def _surge(self, at: int) -> float:
         in_surge = at % SURGE_PERIOD_MS >= SURGE_PERIOD_MS - SURGE_MS
@@ -103,7 +105,8 @@
     def _earlier_chats(self) -> list[tuple[int, int, _Chat]]:
         # As many as would be between two turns after running for a while.
         settings = self._settings
-        many = round(settings.turns_per_second * settings.median_pause_ms / 1_000)
+        between_ms = settings.median_pause_ms + settings.answer_ms
+        many = round(settings.turns_per_second * between_ms / 1_000)
         chats = [(self._pause(), -n - 1, self._new_chat()) for n in range(many)]
         heapify(chats)
         return chats
--- a/src/yuccafold/placement/_ranker.py
+++ b/src/yuccafold/placement/_ranker.py
@@ -78,8 +78,9 @@
     ) -> list[Candidate]:
         """Return the candidates for a chat's next turn.
 
-        ``loads`` is given for the first turn of a chat whose caller is going
-        to carry the hint: such a chat may start on the least loaded one.
+        ``loads`` is given for a chat whose caller carries the hint: it may
+        start on the least loaded candidate, and it goes to the least loaded
+        ones when its own has no room, because the hint will find it there.
 
         ``hint`` is the target that the caller says served the chat last; one
         that isn't listed or takes no work is passed over.
@@ -99,8 +100,8 @@
             if target is not None and known.history.is_taking_work(target)
         ]
         ranked = islice(self._ranked(known, chat, now), self._settings.candidates)
-        if loads is not None and not leading:
-            return self._by_load(list(ranked), loads)
+        if loads is not None:
+            ranked = self._by_load(list(ranked), loads)
         return self._distinct([*leading, *ranked])
 
     @staticmethod
--- a/testing/placement/test_load_bound.py
+++ b/testing/placement/test_load_bound.py
@@ -13,6 +13,8 @@
 from placement.ledger_fleet import Fleet
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
+from yuccafold.placement import LoadLedger
+from yuccafold.placement import Phase
 
 VMS = st.integers(0, 7).map(lambda n: VmId(f"vm-{n}"))
 TARGETS = st.integers(0, 5).map(lambda n: TargetId(f"engine-{n}"))
@@ -153,3 +155,82 @@
     assert slots.count(target) == 1
     fleet.advance(1_000)
     assert slots.count(target) == 0
+
+
+def settled(vms: int) -> tuple[Fleet, TargetId, VmId]:
+    fleet = Fleet(vms, 2, random.Random(1))
+    # Older than a slot's lifetime, so that no process may have a forerunner.
+    fleet.advance(12_000)
+    target = TargetId("engine-0")
+    owner = fleet.vms[VmId("vm-0")].ledger.owner.owners.owner(target)
+    return fleet, target, owner
+
+
+def hold(fleet: Fleet, holder: VmId, target: TargetId, owner: VmId):
+    slots = fleet.vms[owner].ledger.owner.slots
+    while slots.count(target) == 0:
+        fleet.ask(holder, target, 8_000)
+        fleet.advance(500)
+
+
+def next_owner(fleet: Fleet, target: TargetId) -> LoadLedger:
+    # Lists reach everyone within the lag, the silent ones excepted.
+    fleet.advance(1_000)
+    ledgers = {vm: fleet.vms[vm].ledger for vm in fleet.listed if fleet.runs(vm)}
+    owner = next(iter(ledgers.values())).owner.owners.owner(target)
+    return ledgers[owner]
+
+
+def test_new_owner_grants_when_one_memory_is_lost():
+    fleet, target, owner = settled(5)
+    hold(fleet, owner, target, owner)
+    fleet.kill(owner)
+    fleet.unlist_vm(owner)
+    ledger = next_owner(fleet, target)
+    assert ledger.owner.phase(target) is not Phase.GRANTING
+    fleet.advance(4_000)
+    assert ledger.owner.phase(target) is Phase.GRANTING
+    assert ledger.owner.slots.count(target) == 1
+
+
+def test_new_owner_waits_out_slots_when_two_memories_are_lost():
+    fleet, target, owner = settled(5)
+    pair = fleet.vms[owner].ledger.owner.owners
+    holder = next(
+        vm for vm in fleet.listed if vm not in (owner, pair.successor(target))
+    )
+    hold(fleet, holder, target, owner)
+    for vm in (owner, holder):
+        fleet.kill(vm)
+        fleet.unlist_vm(vm)
+    ledger = next_owner(fleet, target)
+    fleet.advance(5_000)
+    assert ledger.owner.phase(target) is Phase.COLLECTING
+    fleet.advance(12_000)
+    assert ledger.owner.phase(target) is Phase.GRANTING
+
+
+def test_new_owner_counts_slots_of_a_silent_holder_as_others_know_them():
+    fleet, target, owner = settled(5)
+    pair = fleet.vms[owner].ledger.owner.owners
+    holder = next(
+        vm for vm in fleet.listed if vm not in (owner, pair.successor(target))
+    )
+    hold(fleet, holder, target, owner)
+    fleet.kill(holder)
+    fleet.unlist_vm(owner)
+    ledger = next_owner(fleet, target)
+    fleet.advance(3_000)
+    assert ledger.owner.phase(target) is Phase.GRANTING
+    assert ledger.owner.slots.count(target) == 1
+
+
+def test_owner_that_paused_collects_anew_before_it_grants():
+    fleet, target, owner = settled(3)
+    ledger = fleet.vms[owner].ledger
+    assert ledger.owner.phase(target) is Phase.GRANTING
+    fleet.pause(owner, 3_000)
+    fleet.advance(3_200)
+    assert ledger.owner.phase(target) is Phase.WAITING
+    fleet.advance(4_000)
+    assert ledger.owner.phase(target) is Phase.GRANTING
