--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -20,6 +20,7 @@
     "placement": "yuccafold.bench._placement",
     "settings": "yuccafold.bench._settings",
     "orders": "yuccafold.bench._orders",
+    "fleet": "yuccafold.bench._fleet",
 }
 """The module of each part; it holds ``figures(options)``."""
 
