Order engines from the routers themselves

Cause: the order controller had no carrier in the daemon. Change: a task feeds it the settings in force, the confirmed VM list, reachable VMs and the targets' health; its messages go by their own byte class; an operators' page shows the engines that a router orders. Conclusion: wired, to be shown.

--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -22,6 +22,7 @@
         Command("status", "whether and why a router refuses", "yuccafold.cli._status"),
         Command("targets", "targets, state and owner", "yuccafold.cli._targets"),
         Command("peers", "VMs that a router knows", "yuccafold.cli._peers"),
+        Command("orders", "engines that a router orders", "yuccafold.cli._orders"),
         Command("chats", "chats placed last", "yuccafold.cli._chats"),
         Command("explain", "where a chat goes and why", "yuccafold.cli._explain"),
         Command(
--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -112,6 +112,7 @@
         self._settle_by = Milliseconds(now + patience)
         self._snapshot: VmListSnapshot | None = None
         self._tree: SettingsTree | None = None
+        self._list_confirmed_at: Milliseconds | None = None
         self._not_live: dict[TargetId, Health] = {}
         self._claims: dict[CallId, Reply[ClaimOutcome]] = {}
         self._handlers: dict[ByteClass, Handler] = {
@@ -127,6 +128,20 @@
         """The VM list in use."""
         return self._snapshot
 
+    @property
+    def tree(self) -> SettingsTree | None:
+        """The settings in force."""
+        return self._tree
+
+    @property
+    def list_confirmed_at(self) -> Milliseconds | None:
+        """When the platform last returned or confirmed the VM list."""
+        return self._list_confirmed_at
+
+    def add_handler(self, byte_class: ByteClass, handler: Handler) -> None:
+        """Let ``handler`` take the peers' messages of a further class."""
+        self._handlers[byte_class] = handler
+
     @property
     def pauses(self) -> int:
         """How many pauses of this process were noticed."""
@@ -270,6 +285,7 @@
             self.membership.take_list(command.snapshot, now)
         if self._snapshot is None:
             return []
+        self._list_confirmed_at = now
         listed = frozenset(entry.id for entry in self._snapshot.vms)
         self.replica.set_listed(listed)
         view = View(Member(entry.id, entry.zone) for entry in self._snapshot.vms)
--- /dev/null
+++ b/src/yuccafold/router/_orders.py
@@ -0,0 +1,113 @@
+"""Feeds the orders to engines with what this VM knows, and carries them."""
+
+from __future__ import annotations
+
+import random
+from typing import final
+
+import trio
+
+from yuccafold import orders
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import Incarnation
+from yuccafold._ids import TargetId
+from yuccafold._ids import VmId
+from yuccafold._outgoing import Outgoing
+from yuccafold.control import ControlPlane
+from yuccafold.fleet import ByteClass
+from yuccafold.fleet import ListedState
+from yuccafold.fleet import PeerNetwork
+from yuccafold.fleet import TargetState
+from yuccafold.orders import OrderCarrier
+from yuccafold.orders import OrderController
+from yuccafold.orders import OrderOptions
+from yuccafold.router._supervisor import ChildSpec
+from yuccafold.settings import ProcessSettings
+from yuccafold.settings import SettingsTree
+
+FEED_INTERVAL = Milliseconds(1_000)
+
+orders.register_messages()
+
+
+@final
+class OrderTasks:
+    """The order controller of one VM and the tasks that drive it."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        incarnation: Incarnation,
+        plane: ControlPlane,
+        network: PeerNetwork,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        options = OrderOptions(list_lag_ms=settings.claims.list_lag_ms)
+        now = clock.now()
+        vm = VmId(settings.vm)
+        self._controller = OrderController(vm, incarnation, options, rng, now)
+        self._plane = plane
+        self._network = network
+        self._clock = clock
+        self._tree: SettingsTree | None = None
+        self._confirmed_at: Milliseconds | None = None
+        self._pauses = 0
+        self._carrier = OrderCarrier(self._controller, clock, options, self._send)
+        plane.add_handler(ByteClass.ORDERS, self._controller.handle)
+
+    @property
+    def controller(self) -> OrderController:
+        """The decisions behind."""
+        return self._controller
+
+    def children(self) -> list[ChildSpec]:
+        """Return the tasks to supervise."""
+        return [
+            ChildSpec("orders", self._carrier.run),
+            ChildSpec("order_facts", self._feed),
+        ]
+
+    async def _feed(self) -> None:
+        """Tell the controller what changed, until cancelled."""
+        while True:
+            self._feed_once(self._clock.now())
+            await trio.sleep(FEED_INTERVAL / MS_PER_SECOND)
+
+    def _feed_once(self, now: Milliseconds) -> None:
+        plane = self._plane
+        if plane.pauses != self._pauses:
+            self._pauses = plane.pauses
+            self._controller.paused()
+        snapshot = plane.snapshot
+        if snapshot is None or not plane.may_serve(now):
+            return
+        if plane.list_confirmed_at != self._confirmed_at:
+            self._confirmed_at = plane.list_confirmed_at
+            live = [e.id for e in snapshot.vms if e.state is ListedState.LIVE]
+            self._controller.set_list(live, now)
+        self._controller.set_reachable(plane.membership.view.reachable)
+        self._feed_targets(now)
+
+    def _feed_targets(self, now: Milliseconds) -> None:
+        tree = self._plane.tree
+        if tree is None:
+            return
+        if tree is not self._tree:
+            self._tree = tree
+            self._controller.set_tree(tree)
+        targets = [t for service in tree.services.values() for t in service.targets]
+        leaving = [TargetId(t.id) for t in targets if t.draining]
+        self._controller.set_leaving(leaving)
+        serving = {
+            TargetId(target.id): self._plane.target_health(TargetId(target.id), now)
+            is TargetState.LIVE
+            for target in targets
+        }
+        self._controller.set_serving(serving, now)
+
+    def _send(self, outgoing: list[Outgoing]) -> None:
+        for each in outgoing:
+            self._network.send(each)
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -28,6 +28,7 @@
 from yuccafold.router._identity import CallIds
 from yuccafold.router._listener import Listener
 from yuccafold.router._operator import OperatorPort
+from yuccafold.router._orders import OrderTasks
 from yuccafold.router._platform import PlatformTasks
 from yuccafold.router._recent import RecentChats
 from yuccafold.router._refusals import RefusalLog
@@ -86,6 +87,14 @@
         self._platform = PlatformTasks(
             settings, self._control, self._network, self._clock, self._rng
         )
+        self._orders = OrderTasks(
+            settings,
+            self._incarnation,
+            plane,
+            self._network,
+            self._clock,
+            self._rng,
+        )
         self._recent = RecentChats()
         self._forwarder = Forwarder(
             self._clock,
@@ -171,6 +180,7 @@
             self._clock,
             self._refusals,
             self._recent,
+            self._orders.controller,
         )
         port = OperatorPort(pages.handlers())
         supervisor = Supervisor("router", self._clock, self._rng)
@@ -178,6 +188,7 @@
             ChildSpec("control", self._control.run, max_failures=0),
             ChildSpec("peers", self._network.run),
             *self._platform.children(),
+            *self._orders.children(),
             ChildSpec("readiness", self._watch_readiness),
             ChildSpec("callers", partial(callers.run, self._serve_caller)),
             ChildSpec("operators", partial(operators.run, port.serve_connection)),
--- a/src/yuccafold/router/_status.py
+++ b/src/yuccafold/router/_status.py
@@ -17,6 +17,7 @@
 from yuccafold.delivery import Fingerprint
 from yuccafold.delivery import Suspect
 from yuccafold.fleet import PeerNetwork
+from yuccafold.orders import OrderController
 from yuccafold.router._operator import Handler
 from yuccafold.router._operator import OperatorAnswer
 from yuccafold.router._operator import OperatorRequest
@@ -42,6 +43,7 @@
         clock: Clock,
         refusals: RefusalLog,
         recent: RecentChats,
+        orders: OrderController,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -51,6 +53,7 @@
         self._clock = clock
         self._refusals = refusals
         self._recent = recent
+        self._orders = orders
 
     def handlers(self) -> dict[tuple[str, str], Handler]:
         """Return the pages by method and path."""
@@ -66,6 +69,7 @@
             ("POST", "/quarantine/lift"): self._lift,
             ("GET", "/explain"): self._explain,
             ("GET", "/chats"): self._chats,
+            ("GET", "/orders"): self._engine_orders,
         }
 
     async def _live(self, request: OperatorRequest) -> OperatorAnswer:
@@ -192,6 +196,13 @@
         await command.reply.wait()
         return OperatorAnswer(200, {"lifted": named})
 
+    async def _engine_orders(self, request: OperatorRequest) -> OperatorAnswer:
+        rows = [
+            {name: _plain(value) for name, value in asdict(status).items()}
+            for status in self._orders.status()
+        ]
+        return OperatorAnswer(200, rows)
+
     async def _chats(self, request: OperatorRequest) -> OperatorAnswer:
         now = self._clock.now()
         rows = [
@@ -233,12 +244,7 @@
 
 
 def _suspect_row(suspect: Suspect) -> dict[str, Any]:
-    return {
-        name: value.hex()
-        if isinstance(value, bytes)
-        else getattr(value, "value", value)
-        for name, value in asdict(suspect).items()
-    }
+    return {name: _plain(value) for name, value in asdict(suspect).items()}
 
 
 def _refusal_row(row: RefusalCount, now: Milliseconds) -> dict[str, Any]:
@@ -251,3 +257,8 @@
         "revision": row.revision,
         "example": row.reason,
     }
+
+
+def _plain(value: Any) -> Any:
+    """Return a value that JSON can hold."""
+    return value.hex() if isinstance(value, bytes) else getattr(value, "value", value)
