--- a/src/yuccafold/bench/_router_process.py
+++ b/src/yuccafold/bench/_router_process.py
@@ -32,6 +32,9 @@
 FIRST_START_WINDOW_MS = 5_000
 
 
+PROGRAM = (sys.executable, "-m", "yuccafold")
+
+
 class RouterDidNotStartError(Exception):
     """The router took no connection in time; the message holds its output."""
 
@@ -56,6 +59,11 @@
         user, system = int(after_name[11]), int(after_name[12])
         return (user + system) / TICKS_PER_SECOND
 
+    def children(self) -> tuple[int, ...]:
+        """Return the ids of the processes that it started."""
+        lists = self._proc.glob("task/*/children")
+        return tuple(int(pid) for file in lists for pid in file.read_text().split())
+
     def rss_mb(self) -> float:
         """Return the resident memory in megabytes."""
         lines = (self._proc / "status").read_text().splitlines()
@@ -64,24 +72,31 @@
 
 
 @asynccontextmanager
-async def router_process(tree: str) -> AsyncIterator[RouterProcess]:
-    """Run a router under the settings tree ``tree``; it is ended with the context."""
+async def router_process(
+    tree: str, program: tuple[str, ...] = PROGRAM, claims: bool = True
+) -> AsyncIterator[RouterProcess]:
+    """Run a router under the settings tree ``tree``; it is ended with the context.
+
+    ``program`` is the command that runs ``yuccafold``. With ``claims`` it is
+    waited for until idempotency keys are served too.
+    """
     with tempfile.TemporaryDirectory() as name:
         directory = Path(name)
         address = _free_address()
         operator = _free_address()
-        command = _command(directory, address, operator, tree)
+        arguments = _arguments(directory, address, operator, tree)
+        command = [*program, *arguments]
         with (directory / "output").open("wb") as output:
             process = subprocess.Popen(command, stdout=output, stderr=output)
         try:
-            await _wait_until_ready(operator, process, directory / "output")
+            await _wait_until_ready(operator, process, directory / "output", claims)
             yield RouterProcess(process.pid, address)
         finally:
             _stop(process)
 
 
-def _command(directory: Path, address: str, operator: str, tree: str) -> list[str]:
-    """Write the settings files and return the command that reads them."""
+def _arguments(directory: Path, address: str, operator: str, tree: str) -> list[str]:
+    """Write the settings files and return the arguments that name them."""
     (directory / "tree.yaml").write_text(tree)
     settings: dict[str, Any] = {
         "vm": "vm-bench",
@@ -101,27 +116,27 @@
     }
     file = directory / "process.yaml"
     file.write_text(yaml.safe_dump(settings))
-    return [sys.executable, "-m", "yuccafold", "router", f"--settings={file}"]
+    return ["router", f"--settings={file}"]
 
 
 async def _wait_until_ready(
-    operator: str, process: subprocess.Popen[bytes], output: Path
+    operator: str, process: subprocess.Popen[bytes], output: Path, claims: bool
 ) -> None:
     """Wait until the operators' port says that the router serves."""
     request = HttpRequest(operator, "/status")
     with trio.move_on_after(START_SECONDS):
         while process.poll() is None:
             called = await call(request, HttpLimits(), 0)
-            if isinstance(called, Ok) and _serves_all(called.ok_value.body):
+            if isinstance(called, Ok) and _serves(called.ok_value.body, claims):
                 return
             await trio.sleep(POLL_SECONDS)
     raise RouterDidNotStartError(output.read_text()[-2_000:])
 
 
-def _serves_all(body: bytes) -> bool:
-    """Return whether a status page says that every kind of call is served."""
+def _serves(body: bytes, claims: bool) -> bool:
+    """Return whether a status page says that calls, and keys too, are served."""
     status = json.loads(body)
-    return status["ready"] and not status["claims_recovering"]
+    return status["ready"] and not (claims and status["claims_recovering"])
 
 
 def _stop(process: subprocess.Popen[bytes]) -> None:
--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -21,6 +21,7 @@
     "settings": "yuccafold.bench._settings",
     "orders": "yuccafold.bench._orders",
     "fleet": "yuccafold.bench._fleet",
+    "dist": "yuccafold.bench._dist",
 }
 """The module of each part; it holds ``figures(options)``."""
 
