Let a restarted seat recover per key; treat a woken VM as uninformed

Cause: a restarted seat needed all members of its list but one, so three VMs that restarted together could not recover before the hold was over, and a woken VM sent requests that the others had quarantined meanwhile.

Change: a seat votes on a key once enough of that key's other seats were read; a VM that started or paused asks the trial arbiter about each request until it has compared strikes with another. The bench gains the part delivery.

--- a/src/yuccafold/chaos/__init__.py
+++ b/src/yuccafold/chaos/__init__.py
@@ -4,16 +4,26 @@
 
 from yuccafold.chaos._faults import Fault
 from yuccafold.chaos._protections import PROTECTIONS
+from yuccafold.chaos._prove import prove
 from yuccafold.chaos._prove import run_without
+from yuccafold.chaos._run import CALM_LETHAL
+from yuccafold.chaos._run import LOSSY_LETHAL
+from yuccafold.chaos._run import MIXED
 from yuccafold.chaos._run import ChaosResult
 from yuccafold.chaos._run import ChaosRun
 from yuccafold.chaos._run import Load
+from yuccafold.chaos._run import Scenario
 
 __all__ = [
+    "CALM_LETHAL",
+    "LOSSY_LETHAL",
+    "MIXED",
     "PROTECTIONS",
     "ChaosResult",
     "ChaosRun",
     "Fault",
     "Load",
+    "Scenario",
+    "prove",
     "run_without",
 ]
--- a/src/yuccafold/chaos/_calls.py
+++ b/src/yuccafold/chaos/_calls.py
@@ -21,6 +21,7 @@
     """What an operation asks for."""
 
     BOOKING = "booking"
+    UNKEYED = "unkeyed"
     LOOKUP = "lookup"
     CHAT = "chat"
 
--- a/src/yuccafold/chaos/_faults.py
+++ b/src/yuccafold/chaos/_faults.py
@@ -17,6 +17,7 @@
     LATENESS = "late and reordered messages"
     DOUBLING = "doubled messages"
     PARTITION = "partition"
+    ISOLATION = "routers that reach neither the others nor the platform"
     RESTARTS = "restarts without memory"
     LISTS = "two VM lists"
     PAUSES = "paused processes"
@@ -41,10 +42,13 @@
     cut_streams: float = 0.0
     write_pauses: float = 0.0
     parted: frozenset[VmId] = field(default_factory=frozenset)
+    isolated: frozenset[VmId] = field(default_factory=frozenset)
 
     def is_cut(self, one: VmId, other: VmId) -> bool:
         """Return whether a partition lies between two routers."""
-        return (one in self.parted) != (other in self.parted)
+        return any(
+            (one in side) != (other in side) for side in (self.parted, self.isolated)
+        )
 
 
 CALM = Conditions()
@@ -74,3 +78,5 @@
         setattr(conditions, name, getattr(CALM, name))
     if fault is Fault.PARTITION:
         conditions.parted = frozenset()
+    if fault is Fault.ISOLATION:
+        conditions.isolated = frozenset()
--- a/src/yuccafold/chaos/_flows.py
+++ b/src/yuccafold/chaos/_flows.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import final
 
+import xxhash
+
 from yuccafold._ids import TargetId
 from yuccafold._verdict import Verdict
 from yuccafold.chaos._calls import ENGINES
@@ -41,6 +43,13 @@
     """An idempotent call of a plain service."""
 
 
+@final
+class UnkeyedFlow(Flow):
+    """A non-idempotent call without a key: sent once per call received."""
+
+    idempotent = False
+
+
 @final
 class BookingFlow(Flow):
     """A non-idempotent call, which needs a claim on its key."""
@@ -109,6 +118,18 @@
         self.is_in_trial = False
         self.chosen: SimulatedTarget | None = None
 
+    def choose(self) -> SimulatedTarget:
+        """Return the chat's own engine at first, as placement does, then others."""
+        engines = self.router.targets(self.call.operation.kind)
+        home = min(engines, key=lambda each: xxhash.xxh64_digest(self.key_at(each)))
+        if self.attempt == 0:
+            return home
+        return self.router.rng.choice([each for each in engines if each is not home])
+
+    def key_at(self, engine: SimulatedTarget) -> bytes:
+        """Return what ranks ``engine`` for this chat."""
+        return self.print + engine.name.encode()
+
     @staticmethod
     def death_of(target: TargetId, flows: Iterable[Flow]) -> TargetDeath:
         """Return the report of an engine's death with ``flows`` on it."""
@@ -149,6 +170,16 @@
         else:
             self.refuse(outcome.refusal)
 
+    def may_write(self) -> bool:
+        """Return whether the turn is as clear as it was before the connect."""
+        now = self.router.world.now
+        standing = self.router.quarantine.standing(self.print, now)
+        is_allowed = self.is_in_trial or standing is Standing.CLEAR
+        if not is_allowed:
+            self.attempt -= 1
+            self.begin()
+        return is_allowed
+
     def is_on_engine(self, target: TargetId) -> bool:
         """Return whether the turn is in flight on ``target``."""
         return self.target == target
--- a/src/yuccafold/chaos/_platform.py
+++ b/src/yuccafold/chaos/_platform.py
@@ -29,8 +29,10 @@
         self._published: list[tuple[float, View]] = [(0.0, View(self._members))]
         self._behind: dict[VmId, float] = {}
 
-    def read(self, vm: VmId) -> View:
-        """Return the list that ``vm`` gets when it reads now."""
+    def read(self, vm: VmId) -> View | None:
+        """Return the list that ``vm`` gets now, or None when it is isolated."""
+        if vm in self._world.conditions.isolated:
+            return None
         instant = self._world.exact_now - self._behind.get(vm, 0.0)
         return [view for since, view in self._published if since <= instant][-1]
 
@@ -42,6 +44,12 @@
         size = rng.randint(FEWEST_LISTED, len(self._members) - 1)
         self._publish(View(rng.sample(self._members, size)))
 
+    def list_few(self) -> frozenset[VmId]:
+        """Publish the shortest list to all; return all but one of its VMs."""
+        few = self._world.rng.sample(self._members, FEWEST_LISTED)
+        self._publish(View(few))
+        return frozenset(member.vm for member in few[1:])
+
     def heal(self) -> None:
         """Publish all routers again, to every reader at once."""
         self._publish(View(self._members))
--- a/src/yuccafold/chaos/_protections.py
+++ b/src/yuccafold/chaos/_protections.py
@@ -14,6 +14,10 @@
 from yuccafold._verdict import Verdict
 from yuccafold._verdict import VerdictRecord
 from yuccafold.chaos import _flows
+from yuccafold.chaos._run import CALM_LETHAL
+from yuccafold.chaos._run import LOSSY_LETHAL
+from yuccafold.chaos._run import MIXED
+from yuccafold.chaos._run import Scenario
 from yuccafold.delivery import AttemptEnd
 from yuccafold.delivery import BodyDigest
 from yuccafold.delivery import CallVerdict
@@ -53,6 +57,7 @@
     summary: str
     seed: int
     weakenings: tuple[Weakening, ...]
+    scenario: Scenario = MIXED
 
     @contextmanager
     def disabled(self) -> Iterator[None]:
@@ -79,7 +84,7 @@
 _obstacle = _retry._obstacle
 
 
-def _one_reader(recovery: Recovery, view: Any) -> bool:
+def _one_reader(recovery: Recovery, view: Any, key: Any = None) -> bool:
     return len(recovery._read[view.digest]) >= 1
 
 
@@ -122,14 +127,21 @@
         Protection(
             "abstention",
             "a seat that may have forgotten claims abstains",
-            1,
-            (Weakening(Recovery, "remembers", lambda recovery, digests, now: True),),
+            2,
+            (
+                Weakening(
+                    Recovery, "remembers", lambda recovery, key, digests, now: True
+                ),
+            ),
         ),
         Protection(
             "recovery-majority",
             "a restarted seat reads enough others before it votes",
             1,
-            (Weakening(Recovery, "_is_covered", _one_reader),),
+            (
+                Weakening(Recovery, "_knows_key", _one_reader),
+                Weakening(Recovery, "_knows_every_key", _one_reader),
+            ),
         ),
         Protection(
             "recovery-wait",
@@ -191,7 +203,7 @@
         Protection(
             "non-idempotent-retry",
             "a non-idempotent call that may have run is not tried again",
-            1,
+            2,
             (Weakening(_retry, "_obstacle", _as_idempotent),),
         ),
         Protection(
@@ -227,12 +239,14 @@
                     lambda arbiter, sender, request, now: TrialAnswer.GRANTED,
                 ),
             ),
+            CALM_LETHAL,
         ),
         Protection(
             "report-before-answer",
             "strikes are acknowledged before a retry or an answer goes out",
-            1,
+            3,
             (Weakening(_reports, "SPREAD_LIMIT", 0),),
+            LOSSY_LETHAL,
         ),
     )
 }
--- a/src/yuccafold/chaos/_schedule.py
+++ b/src/yuccafold/chaos/_schedule.py
@@ -21,6 +21,8 @@
 PAUSE_EVERY_MS = 3_000.0
 LONGEST_PAUSE_MS = 45_000.0
 PARTED_ROUTERS = 3
+LIST_SETTLES_MS = 4_000.0
+LONGEST_ISOLATION_MS = 70_000.0
 
 RouterAction = Callable[[Router], None]
 
@@ -54,6 +56,8 @@
         idle = [fault for fault in Fault if fault not in self._active]
         fault = self._only or self._world.rng.choice(idle)
         duration = self._world.rng.uniform(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)
+        if fault is Fault.ISOLATION:
+            duration = LONGEST_ISOLATION_MS
         self._active.add(fault)
         self._world.note(f"fault begins: {fault.value} for {duration:.0f} ms")
         disturb(self._world.conditions, fault)
@@ -63,7 +67,7 @@
     def _end(self, fault: Fault, until_ms: float) -> None:
         self._active.discard(fault)
         calm(self._world.conditions, fault)
-        if fault is Fault.LISTS:
+        if fault in (Fault.LISTS, Fault.ISOLATION):
             self._platform.heal()
         self._world.note(f"fault ends: {fault.value}")
         self._next(until_ms)
@@ -76,11 +80,24 @@
             self._world.conditions.parted = frozenset(parted)
         elif fault is Fault.LISTS:
             self._platform.disagree()
+        elif fault is Fault.ISOLATION:
+            self._isolate()
         elif fault is Fault.RESTARTS:
             self._repeatedly(RESTART_EVERY_MS, until_ms, Router.restart)
         elif fault is Fault.PAUSES:
             self._repeatedly(PAUSE_EVERY_MS, until_ms, self._pause)
 
+    def _isolate(self) -> None:
+        """Cut off most of a short list's VMs while the others get a new list."""
+        isolated = self._platform.list_few()
+
+        def cut_off() -> None:
+            if Fault.ISOLATION in self._active:
+                self._world.conditions.isolated = isolated
+                self._platform.heal()
+
+        self._world.after(LIST_SETTLES_MS, cut_off)
+
     def _repeatedly(
         self, interval_ms: float, until_ms: float, act: RouterAction
     ) -> None:
--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -15,7 +15,9 @@
 from yuccafold.bench import Part
 from yuccafold.cli._command import ExitCode
 
-PARTS: dict[str, str] = {}
+PARTS: dict[str, str] = {
+    "delivery": "yuccafold.bench._delivery",
+}
 """The module of each part; it holds ``figures(options)``."""
 
 
--- a/src/yuccafold/delivery/__init__.py
+++ b/src/yuccafold/delivery/__init__.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from yuccafold.delivery._call_verdict import CallVerdict
+from yuccafold.delivery._deaths import InFlight
+from yuccafold.delivery._deaths import SentReport
+from yuccafold.delivery._deaths import TargetDeath
 from yuccafold.delivery._keys import BodyDigest
 from yuccafold.delivery._keys import ClaimId
 from yuccafold.delivery._keys import ClaimKey
@@ -27,10 +30,7 @@
 from yuccafold.delivery._outcomes import StrikesSpread
 from yuccafold.delivery._outcomes import TrialGranted
 from yuccafold.delivery._outcomes import TrialRefused
-from yuccafold.delivery._quarantine import InFlight
 from yuccafold.delivery._quarantine import Quarantine
-from yuccafold.delivery._quarantine import SentReport
-from yuccafold.delivery._quarantine import TargetDeath
 from yuccafold.delivery._retry import AttemptEnd
 from yuccafold.delivery._retry import GiveUp
 from yuccafold.delivery._retry import GiveUpReason
--- /dev/null
+++ b/src/yuccafold/delivery/_deaths.py
@@ -0,0 +1,40 @@
+"""What a VM reports when a target dies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import final
+
+from yuccafold._ids import CallId
+from yuccafold._ids import ServiceId
+from yuccafold._ids import TargetId
+from yuccafold._outgoing import Outgoing
+from yuccafold.delivery._keys import Fingerprint
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class InFlight:
+    """A request that was on a target when it died."""
+
+    call: CallId
+    fingerprint: Fingerprint
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class TargetDeath:
+    """A target's death as one VM saw it, with what that VM had on it."""
+
+    service: ServiceId
+    target: TargetId
+    in_flight: tuple[InFlight, ...]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SentReport:
+    """The number of a report, which ``StrikesSpread`` names, and its messages."""
+
+    number: int
+    outgoing: list[Outgoing]
--- a/src/yuccafold/delivery/_ledger.py
+++ b/src/yuccafold/delivery/_ledger.py
@@ -98,9 +98,9 @@
         return len(self._voter)
 
     def is_recovering(self, now: Milliseconds) -> bool:
-        """Return whether this VM abstains from votes under the present list."""
+        """Return whether this VM abstains from votes on some keys."""
         current = self._views.current
-        return current is None or not self._recovery.remembers((current.digest,), now)
+        return current is None or not self._recovery.covered((current.digest,), now)
 
     def confirm_view(self, view: View, now: Milliseconds) -> None:
         """Take ``view`` as the VM list that the platform publishes now."""
--- a/src/yuccafold/delivery/_messages.py
+++ b/src/yuccafold/delivery/_messages.py
@@ -311,9 +311,19 @@
 class StrikesRequest:
     """Asks for the strikes in force, unless they have the asker's ``digest``."""
 
+    number: int
     digest: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class StrikesReply:
+    """The strikes in force, or none where the asker has the same."""
+
+    number: int
+    strikes: tuple[Strike, ...]
+
+
 CLAIM_MESSAGES = (
     ("view-announce", ViewAnnounce),
     ("claim-request", ClaimRequest),
@@ -336,6 +346,7 @@
     ("trial-reply", TrialReply),
     ("trial-ended", TrialEnded),
     ("strikes-request", StrikesRequest),
+    ("strikes-reply", StrikesReply),
 )
 """The kind on the wire and the class of the messages for ``Quarantine``."""
 
--- a/src/yuccafold/delivery/_quarantine.py
+++ b/src/yuccafold/delivery/_quarantine.py
@@ -9,19 +9,23 @@
 from typing import final
 
 from yuccafold._clock import Milliseconds
+from yuccafold._clock import PauseDetector
 from yuccafold._ids import CallId
 from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold._outgoing import Outgoing
 from yuccafold._verdict import Refusal
-from yuccafold._verdict import Verdict
+from yuccafold.delivery import _refusals
+from yuccafold.delivery._deaths import SentReport
+from yuccafold.delivery._deaths import TargetDeath
 from yuccafold.delivery._keys import Fingerprint
 from yuccafold.delivery._messages import Strike
 from yuccafold.delivery._messages import StrikeAck
 from yuccafold.delivery._messages import StrikeId
 from yuccafold.delivery._messages import StrikeReport
 from yuccafold.delivery._messages import StrikesCleared
+from yuccafold.delivery._messages import StrikesReply
 from yuccafold.delivery._messages import StrikesRequest
 from yuccafold.delivery._messages import TrialAnswer
 from yuccafold.delivery._messages import TrialEnded
@@ -49,37 +53,6 @@
 
 LISTED_LATELY = Milliseconds(60_000)
 
-UNPROCESSABLE = 422
-UNAVAILABLE = 503
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class InFlight:
-    """A request that was on a target when it died."""
-
-    call: CallId
-    fingerprint: Fingerprint
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class TargetDeath:
-    """A target's death as one VM saw it, with what that VM had on it."""
-
-    service: ServiceId
-    target: TargetId
-    in_flight: tuple[InFlight, ...]
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class SentReport:
-    """The number of a report, which ``StrikesSpread`` names, and its messages."""
-
-    number: int
-    outgoing: list[Outgoing]
-
 
 @final
 @dataclass(slots=True)
@@ -96,9 +69,16 @@
 
 @final
 class Quarantine:
-    """One VM's part in quarantine; ``tick`` is called about every 100 ms."""
+    """One VM's part in quarantine; ``tick`` is called about every 100 ms.
 
-    def __init__(self, vm: VmId, rng: Random, now: Milliseconds) -> None:
+    A VM that started, or whose process paused for longer than ``pause_limit``,
+    may not know the strikes: until it has compared them with another VM it
+    takes every request for suspect, so that the arbiter decides.
+    """
+
+    def __init__(
+        self, vm: VmId, pause_limit: Milliseconds, rng: Random, now: Milliseconds
+    ) -> None:
         self._vm = vm
         self._rng = rng
         self._view = View(())
@@ -108,12 +88,13 @@
         self._reports = Reports()
         self._trials: dict[int, _Trial] = {}
         self._outcomes: list[QuarantineOutcome] = []
-        self._is_synced = False
-        self._sync_until = Milliseconds(now + SYNC_LIMIT)
-        self._next_sync = now
+        self._pauses = PauseDetector(pause_limit, now)
+        self._sync_number = 0
+        self._forget_sync(now)
 
     def confirm_view(self, view: View, now: Milliseconds) -> None:
         """Take ``view`` as the present VM list."""
+        self._observe_pause(now)
         self._view = view
         self._listed.update(dict.fromkeys(view.vms, now))
         oldest = now - LISTED_LATELY
@@ -123,19 +104,18 @@
         """Return what this VM knows of a request.
 
         A ``SUSPECT`` request needs a granted trial before it is sent, and a
-        ``QUARANTINED`` one is refused by ``refusal``.
+        ``QUARANTINED`` one is refused by ``refusal``. Asked again immediately
+        before the first byte, as the process may have paused meanwhile.
         """
-        return self._strikes.standing(fingerprint, now)
+        self._observe_pause(now)
+        standing = self._strikes.standing(fingerprint, now)
+        if standing is Standing.CLEAR and not self._knows_strikes(now):
+            return Standing.SUSPECT
+        return standing
 
     def refusal(self, fingerprint: Fingerprint, now: Milliseconds) -> Refusal:
         """Return the refusal of a quarantined request."""
-        return Refusal(
-            UNPROCESSABLE,
-            "quarantined",
-            "this request ended several targets and is not tried again for a while",
-            Verdict.NOT_RUN,
-            self._strikes.remaining(fingerprint, now),
-        )
+        return _refusals.quarantined(self._strikes.remaining(fingerprint, now))
 
     def suspects(self, now: Milliseconds) -> tuple[Suspect, ...]:
         """Return every request with strikes, for operators."""
@@ -221,12 +201,14 @@
         self, sender: VmId, message: object, now: Milliseconds
     ) -> list[Outgoing]:
         """Take a message of another VM."""
+        self._observe_pause(now)
         outgoing = self._take(message, sender, now)
         self._note_spread(now)
         return outgoing
 
     def tick(self, now: Milliseconds) -> list[Outgoing]:
         """Do what is due."""
+        self._observe_pause(now)
         self._strikes.expire(now)
         self._note_spread(now)
         outgoing = self._reports.tick(now) + self._sync(now)
@@ -240,6 +222,18 @@
         self._outcomes.clear()
         return outcomes
 
+    def _observe_pause(self, now: Milliseconds) -> None:
+        if self._pauses.observe(now):
+            self._forget_sync(now)
+
+    def _forget_sync(self, now: Milliseconds) -> None:
+        """Count the known strikes as outdated."""
+        self._is_synced = False
+        self._sync_until = Milliseconds(now + SYNC_LIMIT)
+        self._next_sync = now
+        # A late reply to an earlier question says nothing of the pause.
+        self._sync_number = self._new_number()
+
     def _new_number(self) -> int:
         return self._rng.getrandbits(48) + 1
 
@@ -273,16 +267,22 @@
         asked = others if not self._is_synced else (self._rng.choice(others),)
         wait = COMPARE_INTERVAL if self._is_synced else TRIAL_RESEND
         self._next_sync = Milliseconds(now + wait)
-        request = StrikesRequest(self._strikes.digest(now))
+        request = StrikesRequest(self._sync_number, self._strikes.digest(now))
         return [Outgoing(vm, request) for vm in asked]
 
-    def _may_arbitrate(self, now: Milliseconds) -> bool:
+    def _knows_strikes(self, now: Milliseconds) -> bool:
+        """Return whether the strikes are compared, or nobody is there to ask.
+
+        A VM without any list knows nobody and nothing.
+        """
+        if not self._listed:
+            return False
         return self._is_synced or now >= self._sync_until or not self._others()
 
     def _tick_trial(self, trial: _Trial, now: Milliseconds) -> list[Outgoing]:
         if not trial.is_granted and now >= trial.wait_until:
             code = "trial-busy" if trial.was_busy else "trial-unreachable"
-            return self._refuse(trial, _not_tried(code))
+            return self._refuse(trial, _refusals.not_tried(code))
         if now < trial.due:
             return []
         renewal = TRIAL_RENEWAL if trial.is_granted else TRIAL_RESEND
@@ -320,11 +320,17 @@
     ) -> list[Outgoing]:
         for strike in message.strikes:
             self._strikes.add(strike, now)
-        if message.number == 0:
-            self._is_synced = True
-            return []
         return [Outgoing(sender, StrikeAck(message.number))]
 
+    @_take.register
+    def _(
+        self, message: StrikesReply, sender: VmId, now: Milliseconds
+    ) -> list[Outgoing]:
+        for strike in message.strikes:
+            self._strikes.add(strike, now)
+        self._is_synced = self._is_synced or message.number == self._sync_number
+        return []
+
     @_take.register
     def _(self, message: StrikeAck, sender: VmId, now: Milliseconds) -> list[Outgoing]:
         self._reports.acknowledge(message.number, sender)
@@ -349,14 +355,14 @@
             strikes, cleared = (), ()
         else:
             cleared = self._strikes.cleared(now)
-        answers = (StrikeReport(0, strikes), *cleared)
+        answers = (StrikesReply(message.number, strikes), *cleared)
         return [Outgoing(sender, each) for each in answers]
 
     @_take.register
     def _(
         self, message: TrialRequest, sender: VmId, now: Milliseconds
     ) -> list[Outgoing]:
-        if not self._may_arbitrate(now):
+        if not self._knows_strikes(now):
             return []
         answer = self._arbiter.decide(sender, message, now)
         return [Outgoing(sender, TrialReply(message.number, answer))]
@@ -383,13 +389,3 @@
             trial.due = Milliseconds(now + TRIAL_RENEWAL)
             self._outcomes.append(TrialGranted(trial.call))
         return []
-
-
-def _not_tried(code: str) -> Refusal:
-    return Refusal(
-        UNAVAILABLE,
-        code,
-        "a target ended while this request ran; it may be tried again later",
-        Verdict.NOT_RUN,
-        int(TRIAL_RESEND) * 4,
-    )
--- a/src/yuccafold/delivery/_recovery.py
+++ b/src/yuccafold/delivery/_recovery.py
@@ -10,6 +10,7 @@
 from yuccafold._ids import Incarnation
 from yuccafold._ids import VmId
 from yuccafold._outgoing import Outgoing
+from yuccafold.delivery._keys import ClaimKey
 from yuccafold.delivery._messages import RecoveryPage
 from yuccafold.delivery._messages import RecoveryRequest
 from yuccafold.delivery._messages import ViewDigest
@@ -18,15 +19,18 @@
 from yuccafold.delivery._views import ViewHistory
 from yuccafold.delivery._views import quorum
 
+EARLY_WINDOWS = 5
+"""Claim windows after the start during which others are asked often."""
+
 
 @final
 class Recovery:
     """Says whether this seat may vote, and reads what it forgot from others.
 
     Until ``hold`` after its start the seat may have forgotten claims. It may
-    vote earlier under a list once enough other members of that list, none of
-    which forgot anything itself, showed their claims: so many that every
-    majority that this seat took part in before has one of them. Reading starts
+    vote earlier on a key once enough other seats of that key, none of which
+    forgot anything itself, showed their claims: so many that every majority
+    that this seat took part in before has one of them. Reading starts
     a claim window after the start, when claims that this seat voted for before
     can gain no further vote.
     """
@@ -59,31 +63,36 @@
         """Return whether nothing forgotten can matter any more."""
         return now >= self._started + self._timing.hold
 
-    def remembers(self, digests: Iterable[ViewDigest], now: Milliseconds) -> bool:
-        """Return whether no claim under any of the lists can be forgotten."""
+    def remembers(
+        self, key: ClaimKey, digests: Iterable[ViewDigest], now: Milliseconds
+    ) -> bool:
+        """Return whether no claim on ``key`` under any of the lists is forgotten."""
         if self.is_over(now):
             return True
         views = (self._views.find(digest) for digest in digests)
-        return all(view is not None and self._is_covered(view) for view in views)
+        return all(view is not None and self._knows_key(view, key) for view in views)
 
     def covered(
         self, digests: Iterable[ViewDigest], now: Milliseconds
     ) -> tuple[ViewDigest, ...]:
-        """Return those of ``digests`` under which nothing is forgotten."""
+        """Return those of ``digests`` under which no claim at all is forgotten."""
+        views = (self._views.find(digest) for digest in digests)
         return tuple(
-            digest
-            for digest in digests
-            if self._views.find(digest) is not None and self.remembers((digest,), now)
+            view.digest
+            for view in views
+            if view is not None and (self.is_over(now) or self._knows_every_key(view))
         )
 
     def tick(self, now: Milliseconds) -> list[Outgoing]:
         """Ask the members that were not read yet."""
         if self.is_over(now) or now < self._next_round:
             return []
-        self._next_round = Milliseconds(now + self._timing.window)
+        is_early = now < self._started + EARLY_WINDOWS * self._timing.window
+        wait = self._timing.resend if is_early else self._timing.window
+        self._next_round = Milliseconds(now + wait)
         wanted: dict[VmId, list[ViewDigest]] = defaultdict(list)
         for view in self._views.counted(now):
-            if self._is_covered(view):
+            if self._knows_every_key(view):
                 continue
             for vm in view.vms - self._read[view.digest] - {self._vm}:
                 wanted[vm].append(view.digest)
@@ -97,7 +106,16 @@
         for digest in page.covered:
             self._read[digest].add(sender)
 
-    def _is_covered(self, view: View) -> bool:
+    def _knows_key(self, view: View, key: ClaimKey) -> bool:
+        """Return whether enough of the key's other seats were read."""
+        seats = view.seats(key, self._seats)
+        if self._vm not in seats:
+            return True
+        read = len(self._read[view.digest].intersection(seats))
+        return read > len(seats) - quorum(len(seats))
+
+    def _knows_every_key(self, view: View) -> bool:
+        """Return whether enough were read whichever seats a key has."""
         if self._vm not in view.vms:
             return True
         seats = min(self._seats, len(view.vms))
--- a/src/yuccafold/delivery/_refusals.py
+++ b/src/yuccafold/delivery/_refusals.py
@@ -1,4 +1,4 @@
-"""The refusals of the claim protocol, as callers see them."""
+"""The refusals of claims and of quarantine, as callers see them."""
 
 from __future__ import annotations
 
@@ -67,5 +67,17 @@
     return Refusal(UNPROCESSABLE, "key-reused", reason, Verdict.NOT_RUN)
 
 
+def quarantined(remaining_ms: int) -> Refusal:
+    """Return the refusal of a request that ended targets."""
+    reason = "this request ended targets and is not tried again for a while"
+    return Refusal(UNPROCESSABLE, "quarantined", reason, Verdict.NOT_RUN, remaining_ms)
+
+
+def not_tried(code: str) -> Refusal:
+    """Return the refusal of a suspect request that got no trial."""
+    reason = "a target ended while this request ran; it may be tried again later"
+    return _not_run(code, reason, RETRY_LATER_MS)
+
+
 def _not_run(code: str, reason: str, retry_after_ms: int) -> Refusal:
     return Refusal(UNAVAILABLE, code, reason, Verdict.NOT_RUN, retry_after_ms)
--- a/src/yuccafold/delivery/_voter.py
+++ b/src/yuccafold/delivery/_voter.py
@@ -166,7 +166,7 @@
             return False
         if not self._views.is_fresh(now, Milliseconds(0)):
             return False
-        return self._recovery.remembers(request.views, now)
+        return self._recovery.remembers(request.key, request.views, now)
 
     def _live(self, key: ClaimKey, now: Milliseconds) -> list[_Claim]:
         """Return the claims held on ``key`` and drop the lapsed ones."""
