--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -22,6 +22,7 @@
     "orders": "yuccafold.bench._orders",
     "fleet": "yuccafold.bench._fleet",
     "dist": "yuccafold.bench._dist",
+    "delivery": "yuccafold.bench._delivery",
 }
 """The module of each part; it holds ``figures(options)``."""
 
