Remember two holders of a prefix and allow for ends in transit

Cause: a chat that finds its engine full went to one without its prefix; and one admission in some thousands passed the bound by requests that had ended within the last message delay.

--- a/src/yuccafold/bench/_arrivals.py
+++ b/src/yuccafold/bench/_arrivals.py
@@ -84,8 +84,8 @@
     def turns(self) -> Iterator[Turn]:
         """Yield the turns in order of time.
 
-        A returning chat takes the next arrival once its pause is over, so
-        that the rate is steady; the others start new chats.
+        A chat takes the next arrival once its pause is over, so that the rate
+        is steady; an arrival for which no chat is due starts a new one.
         """
         waiting: list[tuple[int, int, _Chat]] = self._earlier_chats()
         settings = self._settings
@@ -97,16 +97,18 @@
             if at >= settings.duration_ms:
                 return
             is_due = waiting and waiting[0][0] <= at
-            returning = is_due and self._rng.random() < settings.return_share
-            chat = heappop(waiting)[2] if returning else self._new_chat()
+            chat = heappop(waiting)[2] if is_due else self._new_chat()
             yield self._turn(chat, round(at))
-            heappush(waiting, (round(at) + self._pause(), next(order), chat))
+            if self._rng.random() < settings.return_share:
+                heappush(waiting, (round(at) + self._pause(), next(order), chat))
 
     def _earlier_chats(self) -> list[tuple[int, int, _Chat]]:
         # As many as would be between two turns after running for a while.
         settings = self._settings
-        between_ms = settings.median_pause_ms + settings.answer_ms
-        many = round(settings.turns_per_second * between_ms / 1_000)
+        mean_pause_ms = settings.median_pause_ms * math.exp(settings.pause_sigma**2 / 2)
+        between_ms = mean_pause_ms + settings.answer_ms
+        returning = settings.turns_per_second * settings.return_share
+        many = round(returning * between_ms / 1_000)
         chats = [(self._pause(), -n - 1, self._new_chat()) for n in range(many)]
         heapify(chats)
         return chats
--- a/src/yuccafold/placement/_hints.py
+++ b/src/yuccafold/placement/_hints.py
@@ -12,10 +12,13 @@
 from yuccafold._ids import TargetId
 from yuccafold.placement._view import RankerSettings
 
+HOLDERS = 2
+"""How many holders of one chat's prefix are remembered."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Hint:
-    target: TargetId
+    targets: tuple[TargetId, ...]
     noted_at: int
 
 
@@ -38,7 +41,11 @@
         self, service: ServiceId, chat: ChatId, target: TargetId, now: Milliseconds
     ) -> None:
         """Note that ``target`` holds the chat's prefix."""
-        self._hints[service, chat] = _Hint(target, now)
+        known = self._hints.get((service, chat))
+        earlier = () if known is None else known.targets
+        others = [name for name in earlier if name != target]
+        targets = (target, *others[: HOLDERS - 1])
+        self._hints[service, chat] = _Hint(targets, now)
         self._hints.move_to_end((service, chat))
         if len(self._hints) > self._settings.hints:
             self._hints.popitem(last=False)
@@ -46,15 +53,20 @@
     def evicted(self, service: ServiceId, chat: ChatId, target: TargetId) -> None:
         """Note that ``target`` no longer holds the chat's prefix."""
         hint = self._hints.get((service, chat))
-        if hint is not None and hint.target == target:
+        if hint is None:
+            return
+        others = tuple(name for name in hint.targets if name != target)
+        if others:
+            self._hints[service, chat] = _Hint(others, hint.noted_at)
+        else:
             del self._hints[service, chat]
 
     def find(
         self, service: ServiceId, chat: ChatId, now: Milliseconds
-    ) -> TargetId | None:
-        """Return the target that last held the chat's prefix, if one is known."""
+    ) -> tuple[TargetId, ...]:
+        """Return the targets that held the chat's prefix, the latest first."""
         hint = self._hints.get((service, chat))
         if hint is None or now - hint.noted_at > self._settings.hint_lifetime_ms:
-            return None
+            return ()
         self._hints.move_to_end((service, chat))
-        return hint.target
+        return hint.targets
--- a/src/yuccafold/placement/_ledger.py
+++ b/src/yuccafold/placement/_ledger.py
@@ -185,7 +185,8 @@
         if self._others is not None:
             others = self._others(service, now)
         else:
-            others = self._taken.total(service, now)
+            promised = self._taken.total(service, now)
+            others = max(0, promised - self._settings.completion_margin)
         return self._client.running(service) + others
 
     def handle(self, sender: VmId, message: Any, now: Milliseconds) -> list[Outgoing]:
--- a/src/yuccafold/placement/_ranker.py
+++ b/src/yuccafold/placement/_ranker.py
@@ -75,12 +75,14 @@
         hint: TargetId | None,
         now: Milliseconds,
         loads: Mapping[TargetId, int] | None = None,
+        earlier: TargetId | None = None,
     ) -> list[Candidate]:
         """Return the candidates for a chat's next turn.
 
-        ``loads`` is given for a chat whose caller carries the hint: it may
-        start on the least loaded candidate, and it goes to the least loaded
-        ones when its own has no room, because the hint will find it there.
+        ``loads`` is given for a chat that hints or cache events will find
+        again: it starts on the least loaded candidate, and goes to the least
+        loaded ones when its own has no room. ``earlier`` is the target before
+        ``hint``, which may still hold most of the prefix.
 
         ``hint`` is the target that the caller says served the chat last; one
         that isn't listed or takes no work is passed over.
@@ -95,7 +97,8 @@
             Candidate(target, reason)
             for target, reason in (
                 (hint, CandidateReason.CALLER_HINT),
-                (cached, CandidateReason.CACHE_EVENT),
+                (earlier, CandidateReason.CALLER_HINT),
+                *((name, CandidateReason.CACHE_EVENT) for name in cached),
             )
             if target is not None and known.history.is_taking_work(target)
         ]
@@ -110,7 +113,13 @@
     ) -> list[Candidate]:
         known = [loads[c.target] for c in candidates if c.target in loads]
         usual = sum(known) / max(1, len(known))
-        ordered = sorted(candidates, key=lambda c: loads.get(c.target, usual))
+        ordered = sorted(
+            candidates,
+            key=lambda c: (
+                c.reason is CandidateReason.DAMPED,
+                loads.get(c.target, usual),
+            ),
+        )
         if not ordered or ordered[0] is candidates[0]:
             return ordered
         first = Candidate(ordered[0].target, CandidateReason.LEAST_LOADED)
--- a/src/yuccafold/placement/_view.py
+++ b/src/yuccafold/placement/_view.py
@@ -50,6 +50,8 @@
     """How long a promised floor holds without being renewed."""
     floor_interval_ms: Milliseconds = Milliseconds(200)
     """How long a higher floor may wait; a lower one is sent at once."""
+    completion_margin: int = 1
+    """Requests of other VMs that may have ended while the news travels."""
     answer_timeout_ms: Milliseconds = Milliseconds(200)
     """How long an owner's answer is waited for."""
     pause_limit_ms: Milliseconds = Milliseconds(1_000)
--- a/testing/placement/test_ranker.py
+++ b/testing/placement/test_ranker.py
@@ -138,6 +138,27 @@
     assert ranker.rank(SERVICE, CHATS[0], None, RAMPED)[0].target == home
 
 
+def test_earlier_holder_comes_second():
+    ranker = ranker_of(range(5))
+    hint, earlier = TargetId("engine-1"), TargetId("engine-3")
+    ranked = ranker.rank(SERVICE, CHATS[0], hint, RAMPED, None, earlier)
+    assert [c.target for c in ranked[:2]] == [hint, earlier]
+    ranker.hints.stored(SERVICE, CHATS[0], earlier, RAMPED)
+    ranker.hints.stored(SERVICE, CHATS[0], hint, RAMPED)
+    ranked = ranker.rank(SERVICE, CHATS[0], None, RAMPED)
+    assert [c.target for c in ranked[:2]] == [hint, earlier]
+
+
+def test_chat_that_will_be_found_again_starts_where_load_is_least():
+    ranker = ranker_of(range(5))
+    loads = {TargetId(f"engine-{n}"): 5 for n in range(5)}
+    loads[TargetId("engine-4")] = 1
+    first = ranker.rank(SERVICE, CHATS[0], None, RAMPED, loads)[0]
+    assert first.target == "engine-4"
+    hinted = ranker.rank(SERVICE, CHATS[0], TargetId("engine-2"), RAMPED, loads)[0]
+    assert hinted.target == "engine-2"
+
+
 def test_weights_share_chats_by_capacity():
     ranker = Ranker(ZoneId("a"), RankerSettings())
     listed = [
