--- a/testing/placement/test_ledger.py
+++ b/testing/placement/test_ledger.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import Incarnation
 from yuccafold._ids import ServiceId
@@ -103,3 +105,26 @@
         if granted >= 40:
             break
     assert granted >= 40
+
+
+def test_leaving_vm_says_farewell_only_when_nothing_would_be_missed():
+    net = Net(3, 5)
+    net.run(3_000)
+    leaving = net.names[0]
+    held = net.ask(leaving, "engine-0")
+    assert net.ledgers[leaving].leave(net.now) == []
+    remaining = view_of(net.names[1:], 5)
+    for vm, ledger in net.ledgers.items():
+        net.send(vm, ledger.view_changed(remaining, net.now))
+    net.run(4_000)
+    assert net.ledgers[leaving].leave(net.now) == []
+    net.send(leaving, net.ledgers[leaving].release(held.number, net.now))
+    net.run(3_000)
+    farewells = net.ledgers[leaving].leave(net.now)
+    assert {out.to for out in farewells} == set(net.names[1:])
+
+
+def test_request_may_not_outlast_the_slots():
+    net = Net(2, 2)
+    with pytest.raises(ValueError, match="lifetime of at most 20000 ms, got 20001"):
+        net.ask(net.names[0], "engine-0", lifetime=20_001)
--- a/testing/placement/test_load_bound.py
+++ b/testing/placement/test_load_bound.py
@@ -234,3 +234,25 @@
     assert ledger.owner.phase(target) is Phase.WAITING
     fleet.advance(4_000)
     assert ledger.owner.phase(target) is Phase.GRANTING
+
+
+def test_slots_of_the_other_side_count_when_its_other_requests_have_ended():
+    # Shares by each side's own load would admit here: the fault that rules them out.
+    fleet, target, owner = settled(4)
+    other_engine = next(name for name in fleet.taking if name != target)
+    holder = next(vm for vm in fleet.listed if vm != owner)
+    for _ in range(8):
+        fleet.ask(holder, other_engine, 8_000)
+        fleet.ask(holder, target, 8_000)
+        fleet.advance(500)
+    fleet.partition({holder})
+    kept = [key for key in fleet.held if fleet.live[key].target == target]
+    for key in [key for key in fleet.held if key not in kept]:
+        fleet.finish(fleet.held.index(key))
+    fleet.advance(2_100)
+    slots = fleet.vms[owner].ledger.owner.slots
+    assert slots.count(target) == len(kept) >= 2
+    granted = fleet.granted
+    fleet.ask(owner, target, 8_000)
+    fleet.advance(500)
+    assert fleet.granted == granted
--- a/testing/placement/test_ranker.py
+++ b/testing/placement/test_ranker.py
@@ -168,3 +168,18 @@
     ranker.targets_changed(SERVICE, listed, START)
     share = firsts(ranker).count("large") / len(CHATS)
     assert 0.65 < share < 0.85
+
+
+def test_plain_call_prefers_its_own_zone_among_the_first_choices():
+    ranker = Ranker(ZoneId("b"), RankerSettings())
+    listed = [
+        TargetState(TargetId(f"engine-{n}"), ZoneId("ab"[n % 2])) for n in range(6)
+    ]
+    ranker.targets_changed(SERVICE, listed, START)
+    zones = {state.id: state.zone for state in listed}
+    for chat in CHATS[:50]:
+        plain = {c.target for c in ranker.rank(SERVICE, chat, None, RAMPED)[:3]}
+        first = ranker.rank_plain(SERVICE, chat, RAMPED)[0]
+        assert first.target in plain
+        nearby = any(zones[name] == "b" for name in plain)
+        assert (first.reason is CandidateReason.SAME_ZONE) == nearby
