--- a/src/yuccafold/bench/_fleet.py
+++ b/src/yuccafold/bench/_fleet.py
@@ -29,11 +29,11 @@
 
 
 def figures(options: BenchOptions) -> Iterator[Figure]:
-    """Measure detection, then bytes by size, then links."""
+    """Measure links while the heap is fresh, then detection and bytes."""
+    yield from link_figures(options)
     yield from _detection(options)
     for size in QUICK_SIZES if options.quick else SIZES:
         yield from _bytes(size, options.seed)
-    yield from link_figures(options)
 
 
 def _detection(options: BenchOptions) -> Iterator[Figure]:
--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -16,6 +16,10 @@
 from yuccafold.cli._command import ExitCode
 
 PARTS: dict[str, str] = {
+    "router": "yuccafold.bench._router",
+    "placement": "yuccafold.bench._placement",
+    "settings": "yuccafold.bench._settings",
+    "orders": "yuccafold.bench._orders",
     "fleet": "yuccafold.bench._fleet",
 }
 """The module of each part; it holds ``figures(options)``."""
--- a/src/yuccafold/fleet/_membership.py
+++ b/src/yuccafold/fleet/_membership.py
@@ -104,7 +104,7 @@
         """The VMs that this one probes."""
         revision, partners = self._partners
         if revision != self._table.roster_revision:
-            partners = choose_partners(self._me, self._entries_alive())
+            partners = choose_partners(self._me, self._table.entries_alive())
             self._partners = (self._table.roster_revision, partners)
         return partners
 
@@ -328,9 +328,13 @@
         interval = self._settings.probe_interval_ms
         self._next_probe = Milliseconds(max(self._next_probe + interval, now))
         partner = self._prober.next_partner(self.partners)
-        if partner is None:
-            return []
-        return [self._ping(self._prober.start(partner, now), now)]
+        pinged = {partner, *self._suspect_partners()} - {None}
+        return [self._ping(self._prober.start(vm, now), now) for vm in sorted(pinged)]
+
+    def _suspect_partners(self) -> list[VmId]:
+        """Return the partners that must hear that they are suspected."""
+        suspects = self._table.suspects
+        return [vm for vm in self.partners if vm in suspects]
 
     def _probe_dead(self, now: Milliseconds) -> list[Outgoing]:
         if now < self._next_dead_probe:
@@ -389,12 +393,5 @@
             return self._table.digests()
         return self._table.digests_with(self._own.update())
 
-    def _entries_alive(self) -> list[VmListEntry]:
-        return [
-            member.entry
-            for member in self._table
-            if member.entry is not None and member.status is not MemberStatus.DEAD
-        ]
-
     def _fleet_size(self) -> int:
         return max(1, len(self._lists.latest))
