--- a/src/yuccafold/delivery/_messages.py
+++ b/src/yuccafold/delivery/_messages.py
@@ -309,10 +309,12 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StrikesRequest:
-    """A VM that started asks for the strikes in force."""
+    """Asks for the strikes in force, unless they have the asker's ``digest``."""
 
+    digest: int
 
-MESSAGES = (
+
+CLAIM_MESSAGES = (
     ("claims.view-announce", ViewAnnounce),
     ("claims.claim-request", ClaimRequest),
     ("claims.claim-vote", ClaimVote),
@@ -323,6 +325,10 @@
     ("claims.answer-reply", AnswerReply),
     ("claims.recovery-request", RecoveryRequest),
     ("claims.recovery-page", RecoveryPage),
+)
+"""The kind on the wire and the class of the messages for ``OnceLedger``."""
+
+QUARANTINE_MESSAGES = (
     ("quarantine.strike-report", StrikeReport),
     ("quarantine.strike-ack", StrikeAck),
     ("quarantine.strikes-cleared", StrikesCleared),
@@ -331,12 +337,12 @@
     ("quarantine.trial-ended", TrialEnded),
     ("quarantine.strikes-request", StrikesRequest),
 )
-"""The kind on the wire and the class of every message of this package."""
+"""The kind on the wire and the class of the messages for ``Quarantine``."""
 
 
 def register_messages() -> None:
     """Register every message of this package with the peer codec."""
     from yuccafold.fleet import register
 
-    for kind, message in MESSAGES:
+    for kind, message in CLAIM_MESSAGES + QUARANTINE_MESSAGES:
         register(kind, message)
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from itertools import count
 from typing import final
 
@@ -37,6 +38,7 @@
 from yuccafold.router._interfaces import Placement
 from yuccafold.router._interfaces import RequestGuard
 from yuccafold.router._interfaces import StoredAnswer
+from yuccafold.router._recent import RecentChats
 from yuccafold.router._relay import AnswerRelay
 from yuccafold.router._responder import Responder
 from yuccafold.router._upstream import AttemptFailed
@@ -67,6 +69,7 @@
         once: OnceGate,
         guard: RequestGuard,
         telemetry: Telemetry,
+        recent: RecentChats,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -75,6 +78,7 @@
         self._once = once
         self._guard = guard
         self._telemetry = telemetry
+        self._recent = recent
         self._budget = RetryBudget()
 
     async def forward(
@@ -126,7 +130,9 @@
             if isinstance(decision, GiveUp):
                 await self._give_up(call, _failed(failed), relay)
                 break
-            excluded |= {TargetId(placement.target.id)}
+            if not (relay.started and failed.kind is FailureKind.CLOSED):
+                # Only a stream goes back at once: its engine can resume it.
+                excluded |= {TargetId(placement.target.id)}
             await trio.sleep(decision.delay_ms / MS_PER_SECOND)
         raise AssertionError("expected an answer or a refusal")
 
@@ -137,6 +143,7 @@
         if isinstance(admitted, Err):
             await self._give_up(call, admitted.err_value, relay)
             raise AssertionError("expected a refusal to end the call")
+        self._recent.note(call, admitted.ok_value, self._clock.now())
         return admitted.ok_value
 
     async def _try(
@@ -151,6 +158,7 @@
             await self._attempt(call, placement, body, relay)
             answered = True
         except AttemptFailed as failed:
+            relay.note(failed.verdict)
             await self._examine(call, placement.target, failed)
             return failed
         finally:
@@ -167,17 +175,17 @@
         ) as span:
             span.set_attribute("yuccafold.target", placement.target.id)
             span.set_attribute("yuccafold.placement", placement.reason)
-            headers = forwarded_headers(call, _traceparent(call)) + relay.resume_headers
+            headers = forwarded_headers(call, traceparent()) + relay.resume_headers
             async with exchange(call, placement.target, self._pool) as attempt:
                 await attempt.open()
-                self._check_claim(call)
+                await self._check_claim(call, relay)
                 await self._exchange(call, placement, attempt, headers, body, relay)
 
-    def _check_claim(self, call: Call) -> None:
+    async def _check_claim(self, call: Call, relay: AnswerRelay) -> None:
         """Refuse to send under a claim that a pause or the time has voided."""
         lapsed = None if call.key is None else self._once.may_send(call)
         if lapsed is not None:
-            raise CallRefused(lapsed)
+            await self._give_up(call, lapsed, relay)
 
     async def _exchange(
         self,
@@ -262,6 +270,9 @@
 
     async def _give_up(self, call: Call, refusal: Refusal, relay: AnswerRelay) -> None:
         """Refuse the call, or break its answer off when a part is out."""
+        if refusal.verdict.rank < relay.verdict.rank:
+            # An earlier attempt may have run, whatever the last one came to.
+            refusal = replace(refusal, verdict=relay.verdict)
         self._telemetry.metrics.verdicts.add(
             1, {"service": call.service, "verdict": refusal.verdict.value}
         )
@@ -321,11 +332,11 @@
     return PROPAGATOR.extract({"traceparent": call.traceparent})
 
 
-def _traceparent(call: Call) -> str | None:
-    """Return the header of the present span."""
+def traceparent() -> str | None:
+    """Return the trace header of the present span, if there is one."""
     carrier: dict[str, str] = {}
     PROPAGATOR.inject(carrier)
-    return carrier.get("traceparent", call.traceparent)
+    return carrier.get("traceparent")
 
 
 async def _replay(answer: StoredAnswer, responder: Responder) -> None:
--- a/src/yuccafold/router/_status.py
+++ b/src/yuccafold/router/_status.py
@@ -17,9 +17,11 @@
 from yuccafold.delivery import Fingerprint
 from yuccafold.delivery import Suspect
 from yuccafold.fleet import PeerNetwork
+from yuccafold.orders import OrderController
 from yuccafold.router._operator import Handler
 from yuccafold.router._operator import OperatorAnswer
 from yuccafold.router._operator import OperatorRequest
+from yuccafold.router._recent import RecentChats
 from yuccafold.router._refusals import RefusalCount
 from yuccafold.router._refusals import RefusalLog
 from yuccafold.router._state import RouterState
@@ -40,6 +42,8 @@
         network: PeerNetwork,
         clock: Clock,
         refusals: RefusalLog,
+        recent: RecentChats,
+        orders: OrderController,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -48,6 +52,8 @@
         self._network = network
         self._clock = clock
         self._refusals = refusals
+        self._recent = recent
+        self._orders = orders
 
     def handlers(self) -> dict[tuple[str, str], Handler]:
         """Return the pages by method and path."""
@@ -62,6 +68,8 @@
             ("GET", "/quarantine"): self._quarantine,
             ("POST", "/quarantine/lift"): self._lift,
             ("GET", "/explain"): self._explain,
+            ("GET", "/chats"): self._chats,
+            ("GET", "/orders"): self._engine_orders,
         }
 
     async def _live(self, request: OperatorRequest) -> OperatorAnswer:
@@ -188,6 +196,29 @@
         await command.reply.wait()
         return OperatorAnswer(200, {"lifted": named})
 
+    async def _engine_orders(self, request: OperatorRequest) -> OperatorAnswer:
+        rows = [
+            {name: _plain(value) for name, value in asdict(status).items()}
+            for status in self._orders.status()
+        ]
+        return OperatorAnswer(200, rows)
+
+    async def _chats(self, request: OperatorRequest) -> OperatorAnswer:
+        now = self._clock.now()
+        rows = [
+            {
+                "chat": chat.chat,
+                "service": chat.service,
+                "account": chat.account,
+                "target": chat.target,
+                "ms_ago": now - chat.at,
+                "revision": chat.revision,
+                "reason": chat.reason,
+            }
+            for chat in self._recent.latest()
+        ]
+        return OperatorAnswer(200, rows)
+
     async def _explain(self, request: OperatorRequest) -> OperatorAnswer:
         service = ServiceId(request.query.get("service", ""))
         chat = request.query.get("chat")
@@ -213,12 +244,7 @@
 
 
 def _suspect_row(suspect: Suspect) -> dict[str, Any]:
-    return {
-        name: value.hex()
-        if isinstance(value, bytes)
-        else getattr(value, "value", value)
-        for name, value in asdict(suspect).items()
-    }
+    return {name: _plain(value) for name, value in asdict(suspect).items()}
 
 
 def _refusal_row(row: RefusalCount, now: Milliseconds) -> dict[str, Any]:
@@ -231,3 +257,8 @@
         "revision": row.revision,
         "example": row.reason,
     }
+
+
+def _plain(value: Any) -> Any:
+    """Return a value that JSON can hold."""
+    return value.hex() if isinstance(value, bytes) else getattr(value, "value", value)
