Try orders against interference, and test each protection by itself

A new issuer waits a minute longer only for loads. A text may be read in a worker thread and offered after. Adverts cost less to make.

--- a/src/yuccafold/bench/_orders_engine.py
+++ b/src/yuccafold/bench/_orders_engine.py
@@ -81,7 +81,7 @@
         work = 0
         if order.kind.loads_weights:
             self._store.load(self._network.clock.now())
-            work = self._rng.randint(1, self._longest_work_ms)
+            work = self._rng.choice((1, self._longest_work_ms))
 
         def finish() -> None:
             self._apply(order, Fence.of(fence).revision)
--- a/src/yuccafold/bench/_orders_world.py
+++ b/src/yuccafold/bench/_orders_world.py
@@ -28,16 +28,17 @@
 from yuccafold.settings import parse_tree
 
 TICK_MS = 200
+LOST_ANSWERS = 0.5
 VIEW_MS = 2_000
 """How often a VM's view of its peers and of the engines is renewed."""
 
 FAULTED_OPTIONS = OrderOptions(
-    lease_ms=5_000,
+    lease_ms=3_000,
     renew_ms=1_000,
     list_lag_ms=5_000,
     wire_ms=2_000,
     order_ms=8_000,
-    permit_ms=20_000,
+    permit_ms=12_000,
     slot_ms=1_000,
     ask_ms=500,
     read_ms=3_000,
@@ -77,7 +78,7 @@
         engines: int,
         rate: int,
         options: OrderOptions = FAULTED_OPTIONS,
-        longest_load_ms: int = 5_000,
+        longest_load_ms: int = 6_000,
     ) -> None:
         self.rng = random.Random(seed)
         self.network = VirtualNetwork(self.rng)
@@ -88,6 +89,8 @@
         self.held: dict[VmId, SettingsTree] = {}
         self.newest = orders_tree(1, 0, engines, rate)
         self.lossy = False
+        self.interference = 0.0
+        """The share of orders whose sender is cut off while newer settings come."""
         self._engine_count = engines
         self._rate = rate
         self._options = options
@@ -197,6 +200,12 @@
     def _renew_view(self, vm: VmId, controller: OrderController) -> None:
         if self.controllers.get(vm) is not controller:
             return
+        self._look(vm, controller)
+        view = partial(self._renew_view, vm, controller)
+        self.network.call_at(self.now + VIEW_MS, view, vm)
+
+    def _look(self, vm: VmId, controller: OrderController) -> None:
+        """Let ``vm`` see which peers it reaches and which engines serve."""
         cut = self.network.links.cut
         stopped = self.network.stopped
         controller.set_reachable(
@@ -208,8 +217,6 @@
             {name: not engine.state.draining for name, engine in self.engines.items()},
             self.now,
         )
-        view = partial(self._renew_view, vm, controller)
-        self.network.call_at(self.now + VIEW_MS, view, vm)
 
     def _send(self, sender: VmId, outgoing: list[Outgoing]) -> None:
         for entry in outgoing:
@@ -234,17 +241,47 @@
         elif not controller.may_send(command, self.now):
             report(EngineAnswer(ended=True))
         else:
-            done = partial(self._answer, vm, report)
+            if self.rng.random() < self.interference:
+                self._interfere(vm)
+            done = self._answerer(vm, report)
             order = command.order
             arrive = partial(engine.receive, order, command.fence, done)
-            self._later(self._options.wire_ms, arrive, None)
+            delay = self.rng.choice((1, self._options.wire_ms))
+            self.network.call_at(self.now + delay, arrive)
+
+    def _interfere(self, vm: VmId) -> None:
+        """Cut ``vm`` off, at times with the issuer, and let others move on."""
+        issuers = [
+            other
+            for other, controller in self.controllers.items()
+            if controller.lease.is_held(self.now) and self.rng.random() < 0.5
+        ]
+        self.network.links.part({vm, *issuers}, self.vms)
+        self.lossy = True
+        self.publish(longest_lag_ms=100)
+        self.network.call_at(self.now + self.rng.randint(1_000, 20_000), self._heal)
+        for other in self.vms:
+            controller = self.controllers[other]
+            view = partial(self._look, other, controller)
+            self.network.call_at(self.now + self.rng.randint(0, 500), view, other)
+
+    def _heal(self) -> None:
+        self.network.links.cut = set()
+        self.lossy = False
+
+    def _answerer(
+        self, vm: VmId, report: Callable[[EngineAnswer], None]
+    ) -> Callable[[], None]:
+        """Return what an engine calls when done; the answer may get lost.
 
-    def _answer(self, vm: VmId, report: Callable[[EngineAnswer], None]) -> None:
-        """Answer an order, or let the answer get lost."""
-        if self.lossy and self.rng.random() < 0.3:
+        The sender of an order whose answer gets lost gives up on it at any
+        time, be the order still on the wire or carried out.
+        """
+        if self.lossy and self.rng.random() < LOST_ANSWERS:
             self._later(1_000, lambda: report(EngineAnswer(ended=False)), vm)
-        else:
-            self._later(50, lambda: report(EngineAnswer(ended=True)), vm)
+            return lambda: None
+        answer = EngineAnswer(ended=True)
+        return lambda: self._later(50, lambda: report(answer), vm)
 
     def _later(self, longest: int, step: Callable[[], None], vm: VmId | None) -> None:
         self.network.call_at(self.now + self.rng.randint(1, longest), step, vm)
@@ -270,6 +307,7 @@
 ) -> None:
     """Let ``duration_ms`` pass with pauses, partitions, restarts and new lists."""
     end = world.now + duration_ms
+    world.interference = 0.3
     links = world.network.links
     while world.now < end:
         vm = world.rng.choice(world.vms)
@@ -299,6 +337,7 @@
 
 def settle(world: OrdersWorld, limit_ms: int) -> int:
     """End every fault and spread the settings; return the time to settle."""
+    world.interference = 0.0
     links = world.network.links
     links.cut = set()
     links.loss = links.doubling = links.jitter_ms = 0
--- a/src/yuccafold/bench/_settings.py
+++ b/src/yuccafold/bench/_settings.py
@@ -43,6 +43,7 @@
 BYTES_LIMIT = 6_144
 SERVICE_CALLS_LIMIT = 2_000
 MEMORY_LIMIT_MB = 128
+STEP_MS = 50
 SERVICE_MS = 3
 """How long the settings service takes to answer a watch."""
 
@@ -125,8 +126,12 @@
             for vm in choose(world.vms, WatchOptions().watchers):
                 due = world.now + SERVICE_MS
                 world.network.call_at(due, partial(world.offer, vm, text))
-            world.advance(IN_FORCE_LIMIT_MS)
-            instants = (world.in_force_at[vm][revision] for vm in world.vms)
+            while world.now - published < IN_FORCE_LIMIT_MS and not all(
+                revision in world.in_force_at[vm] for vm in world.vms
+            ):
+                world.advance(STEP_MS)
+            limit = published + IN_FORCE_LIMIT_MS
+            instants = (world.in_force_at[vm].get(revision, limit) for vm in world.vms)
             taken += [instant - published for instant in instants]
         prefix = f"settings_in_force_{name}_{vms}_vms"
         yield Figure(f"{prefix}_ms_p50", statistics.median(taken), "ms")
--- a/src/yuccafold/orders/_permits.py
+++ b/src/yuccafold/orders/_permits.py
@@ -125,10 +125,14 @@
 
     def _note_tenure(self) -> None:
         """Forget everything when the lease was lost and won again."""
-        if self._lease.acquired_at != self._acquired_at:
-            self._acquired_at = self._lease.acquired_at
-            self._permits.clear()
-            self._serial = 0
+        if self._lease.acquired_at == self._acquired_at:
+            return
+        self._acquired_at = self._lease.acquired_at
+        self._permits.clear()
+        self._serial = 0
+        # No minute may hold loads of two holders, who don't know of each other's.
+        spacing = self._options.load_spacing(1)
+        self._loads_from = Milliseconds((self._acquired_at or 0) + spacing)
 
     def _is_quiet(self, tree: SettingsTree, now: Milliseconds) -> bool:
         """Return whether permits of an earlier holder may still be in use."""
@@ -136,8 +140,7 @@
             return True
         if self._lease.floor < tree.revision:
             return True
-        quiet = max(self._options.permit_ms, self._options.load_spacing(1))
-        return now < self._acquired_at + quiet
+        return now < self._acquired_at + self._options.permit_ms
 
     def _learn_term(self, ask: PermitAsk) -> None:
         """Move above a term that only the engine remembers."""
--- a/src/yuccafold/replica/__init__.py
+++ b/src/yuccafold/replica/__init__.py
@@ -20,12 +20,12 @@
 from yuccafold.replica._refusals import RefusedOffer
 from yuccafold.replica._refusals import ReplicaCounts
 from yuccafold.replica._refusals import Source
-from yuccafold.replica._replica import OfferResult
 from yuccafold.replica._replica import SettingsReplica
 from yuccafold.replica._revision import Outcome
 from yuccafold.replica._revision import Revision
 from yuccafold.replica._revision import judge
 from yuccafold.replica._revision import read_revision
+from yuccafold.replica._status import OfferResult
 from yuccafold.replica._status import SettingsStatus
 
 __all__ = [
--- a/src/yuccafold/replica/_heard.py
+++ b/src/yuccafold/replica/_heard.py
@@ -45,11 +45,15 @@
 
     def peers(self, now: Milliseconds) -> tuple[PeerRevision, ...]:
         """Return what is known of each VM heard of lately, by name."""
+        return tuple(sorted(self._recent(now), key=lambda peer: peer.vm))
+
+    def _recent(self, now: Milliseconds) -> list[PeerRevision]:
+        """Return what was heard lately, and forget the rest."""
         oldest = now - self._options.heard_lifetime_ms
-        self._peers = {
-            vm: peer for vm, peer in self._peers.items() if peer.heard_at >= oldest
-        }
-        return tuple(self._peers[vm] for vm in sorted(self._peers))
+        recent = [peer for peer in self._peers.values() if peer.heard_at >= oldest]
+        if len(recent) < len(self._peers):
+            self._peers = {peer.vm: peer for peer in recent}
+        return recent
 
     def take(self, sender: VmId, advert: SettingsAdvert, now: Milliseconds) -> None:
         """Learn from an advert."""
@@ -69,11 +73,12 @@
         self, number: RevisionNumber, count: int, now: Milliseconds
     ) -> tuple[HeardRevision, ...]:
         """Return some of what is known: half of those that lag, then any."""
-        peers = list(self.peers(now))
-        self._rng.shuffle(peers)
+        peers = self._recent(now)
         lagging = [peer for peer in peers if peer.number < number or not peer.ready]
-        first = lagging[: count // 2]
-        rest = [peer for peer in peers if peer not in first]
+        chosen = self._rng.sample(lagging, min(count // 2, len(lagging)))
+        known = {peer.vm for peer in chosen}
+        drawn = self._rng.sample(peers, min(count, len(peers)))
+        chosen += [peer for peer in drawn if peer.vm not in known]
         return tuple(
             HeardRevision(
                 peer.vm,
@@ -82,7 +87,7 @@
                 peer.ready,
                 now - peer.heard_at,
             )
-            for peer in (first + rest)[:count]
+            for peer in chosen[:count]
         )
 
 
--- a/src/yuccafold/replica/_replica.py
+++ b/src/yuccafold/replica/_replica.py
@@ -42,6 +42,7 @@
 from yuccafold.replica._revision import judge
 from yuccafold.replica._revision import read_revision
 from yuccafold.replica._revision import restore_revision
+from yuccafold.replica._status import OfferResult
 from yuccafold.replica._status import SettingsStatus
 from yuccafold.replica._status import Source
 from yuccafold.replica._transfer import TreeFetch
@@ -49,16 +50,6 @@
 from yuccafold.settings import SettingsFault
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class OfferResult:
-    """What became of an offered text, why, and what to tell the peers."""
-
-    outcome: Outcome
-    faults: tuple[SettingsFault, ...]
-    outgoing: list[Outgoing]
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class _Told:
@@ -121,6 +112,8 @@
 
     def readiness(self, now: Milliseconds) -> Readiness:
         """Return whether this VM may serve, and what it waits for."""
+        if self._was_ready and not self._paused:
+            return Readiness.READY
         told = self._recently_told(now)
         state = readiness(
             ReadinessFacts(
@@ -180,8 +173,13 @@
 
     def offer(self, text: str, now: Milliseconds) -> OfferResult:
         """Judge a text of the settings service and take it or refuse it whole."""
+        return self.offer_read(read_revision(text), now)
+
+    def offer_read(
+        self, read: Result[Revision, list[SettingsFault]], now: Milliseconds
+    ) -> OfferResult:
+        """Do as ``offer`` does, with a text that a worker thread has read."""
         self.service_answered(now)
-        read = read_revision(text)
         if isinstance(read, Err):
             self._refusals.refuse(read.err_value, now)
             return OfferResult(Outcome.REFUSED, tuple(read.err_value), [])
--- a/src/yuccafold/replica/_revision.py
+++ b/src/yuccafold/replica/_revision.py
@@ -25,7 +25,7 @@
 from yuccafold.settings import SettingsTree
 from yuccafold.settings import canonical_bytes
 from yuccafold.settings import check_tree
-from yuccafold.settings import check_tree_value
+from yuccafold.settings import check_tree_json
 from yuccafold.settings import read_text
 
 
@@ -81,11 +81,7 @@
     """
     if xxhash.xxh3_64_digest(canonical) != expected.digest:
         return Err(Malformed(f"expected the digest {expected.digest.hex()}"))
-    try:
-        value = json.loads(canonical)
-    except (ValueError, RecursionError) as error:
-        return Err(Malformed(f"not JSON: {error}"))
-    checked = check_tree_value(value)
+    checked = check_tree_json(canonical)
     if isinstance(checked, Err):
         return checked
     revision = _revision(checked.ok_value, canonical)
--- a/src/yuccafold/replica/_status.py
+++ b/src/yuccafold/replica/_status.py
@@ -10,11 +10,24 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import RevisionNumber
 from yuccafold._ids import VmId
+from yuccafold._outgoing import Outgoing
 from yuccafold.replica._heard import PeerRevision
 from yuccafold.replica._readiness import Readiness
 from yuccafold.replica._refusals import RefusedOffer
 from yuccafold.replica._refusals import ReplicaCounts
 from yuccafold.replica._refusals import Source
+from yuccafold.replica._revision import Outcome
+from yuccafold.settings import SettingsFault
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OfferResult:
+    """What became of an offered text, why, and what to tell the peers."""
+
+    outcome: Outcome
+    faults: tuple[SettingsFault, ...]
+    outgoing: list[Outgoing]
 
 
 @final
--- a/src/yuccafold/settings/__init__.py
+++ b/src/yuccafold/settings/__init__.py
@@ -16,7 +16,7 @@
 from yuccafold.settings._process import TelemetrySettings
 from yuccafold.settings._process import TlsFiles
 from yuccafold.settings._references import check_tree
-from yuccafold.settings._references import check_tree_value
+from yuccafold.settings._references import check_tree_json
 from yuccafold.settings._references import find_faults
 from yuccafold.settings._references import parse_tree
 from yuccafold.settings._tree import MAX_REVISION
@@ -61,7 +61,7 @@
     "TlsFiles",
     "canonical_bytes",
     "check_tree",
-    "check_tree_value",
+    "check_tree_json",
     "explain_policy",
     "find_faults",
     "parse",
--- a/src/yuccafold/settings/_references.py
+++ b/src/yuccafold/settings/_references.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterator
 from itertools import chain
-from typing import Any
 
 from result import Err
 from result import Ok
@@ -16,7 +15,7 @@
 from yuccafold.settings._tree import SettingsTree
 from yuccafold.settings._yaml import SettingsFault
 from yuccafold.settings._yaml import check
-from yuccafold.settings._yaml import check_value
+from yuccafold.settings._yaml import check_json
 from yuccafold.settings._yaml import fault_at
 from yuccafold.settings._yaml import read_text
 
@@ -36,13 +35,13 @@
     return _referring(check(document, SettingsTree), document.lines)
 
 
-def check_tree_value(value: Any) -> Result[SettingsTree, list[SettingsFault]]:
-    """Return the settings tree that a JSON value holds, or all its faults.
+def check_tree_json(text: bytes) -> Result[SettingsTree, list[SettingsFault]]:
+    """Return the settings tree that a JSON text holds, or all its faults.
 
     The rules are those of ``check_tree``; the faults have no lines.
     """
     lines = LineIndex(None)
-    return _referring(check_value(value, lines, SettingsTree), lines)
+    return _referring(check_json(text, lines, SettingsTree), lines)
 
 
 def _referring(
--- a/src/yuccafold/settings/_yaml.py
+++ b/src/yuccafold/settings/_yaml.py
@@ -70,7 +70,11 @@
 def check(document: Document, model: type[Model]) -> Result[Model, list[SettingsFault]]:
     """Return the settings object that ``document`` holds, or all its faults."""
     found = [_located(fault) for fault in document.faults]
-    checked = check_value(document.value, document.lines, model)
+    try:
+        text = canonical_bytes(document.value)
+    except (ValueError, RecursionError) as error:
+        return Err([*found, fault_at((), f"not expressible: {error}", document.lines)])
+    checked = check_json(text, document.lines, model)
     if isinstance(checked, Ok):
         return Err(found) if found else checked
     known = {fault.path for fault in found}
@@ -78,17 +82,15 @@
     return Err(found + further)
 
 
-def check_value(
-    value: Any, lines: LineIndex, model: type[Model]
+def check_json(
+    text: bytes, lines: LineIndex, model: type[Model]
 ) -> Result[Model, list[SettingsFault]]:
-    """Return the settings object that a JSON value holds, or all its faults."""
+    """Return the settings object that a JSON text holds, or all its faults."""
     try:
         # JSON mode is strict, but takes a list where a tuple is wanted.
-        return Ok(model.model_validate_json(canonical_bytes(value)))
+        return Ok(model.model_validate_json(text))
     except ValidationError as error:
         return Err(list(_faults(error, lines)))
-    except (ValueError, RecursionError) as error:
-        return Err([fault_at((), f"not expressible as JSON: {error}", lines)])
 
 
 def canonical_bytes(value: Any) -> bytes:
--- a/testing/orders/test_carrier.py
+++ b/testing/orders/test_carrier.py
@@ -22,7 +22,8 @@
   menu:
     kind: model
     paths: [/menu]
-    orders: {{model: menu-large, version: "2", adapters: [dal], min_serving_share: 0}}
+    orders:
+      {{model: menu-large, version: "2", adapters: [dish], min_serving_share: 0}}
     targets: [{{id: engine, address: "{address}", zone: a, role: decode}}]
 """
 
@@ -57,7 +58,11 @@
     engine, sent = trio.run(main)
     state = engine.state
     assert (state.model, state.version) == ("menu-large", "2")
-    assert (state.adapters, state.role, state.draining) == (("dal",), "decode", False)
+    assert (state.adapters, state.role, state.draining) == (
+        ("dish",),
+        "decode",
+        False,
+    )
     assert [order.kind.value for order in engine.orders] == [
         kind.value
         for kind in (
--- a/testing/orders/test_lease.py
+++ b/testing/orders/test_lease.py
@@ -65,6 +65,16 @@
     assert not lease.is_held(end)
 
 
+def test_lease_is_counted_from_the_asking_on():
+    lease = holder()
+    (number,) = {entry.message.round for entry in lease.tick(True, 1, START)}
+    for vm in (A, B):
+        lease.take(vm, LeaseAnswer(number, True, 0, 1), START + 900)
+    end = START + OPTIONS.usable(OPTIONS.lease_ms)
+    assert lease.is_held(end - 1)
+    assert not lease.is_held(end)
+
+
 def test_answer_to_an_earlier_round_counts_for_nothing():
     lease = holder()
     lease.tick(True, 1, START)
--- a/testing/orders/test_permits.py
+++ b/testing/orders/test_permits.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from yuccafold._ids import TargetId
@@ -25,10 +27,10 @@
 class Issuing:
     """An issuer that holds the lease; requests are numbered as they come."""
 
-    def __init__(self, rate=2, share=0.5):
-        self.lease = LeaseHolder(A, 1, OPTIONS, 0)
+    def __init__(self, rate=2, share=0.5, options=OPTIONS):
+        self.lease = LeaseHolder(A, 1, options, 0)
         self.lease.set_list((A,), 0)
-        self.issuer = PermitIssuer(self.lease, OPTIONS)
+        self.issuer = PermitIssuer(self.lease, options)
         self.issuer.set_tree(orders_tree(5, 1, 4, rate, share))
         self.number = 0
         for now in (START, START + OPTIONS.renew_ms):
@@ -38,8 +40,8 @@
     def see(self, now, **serving):
         self.issuer.set_serving(serving, now)
 
-    def renew(self, now, floor=5):
-        for entry in self.lease.tick(True, 5, now):
+    def renew(self, now, floor=5, revision=5):
+        for entry in self.lease.tick(True, revision, now):
             answer = LeaseAnswer(entry.message.round, True, 0, floor)
             self.lease.take(A, answer, now)
 
@@ -129,6 +131,24 @@
     assert 2 * spacing > 60_000 + OPTIONS.slot_ms + OPTIONS.wire_ms
 
 
+def test_new_issuer_waits_a_minute_for_the_loads_of_the_earlier_one():
+    short = replace(OPTIONS, order_ms=5_000, permit_ms=20_000)
+    issuing = Issuing(rate=60, options=short)
+    end = START + short.load_spacing(1)
+    early = issuing.ask(A, ENGINES[0], end - 1, load=True)
+    assert early.refused is Refused.RATE
+    assert issuing.ask(A, ENGINES[0], end, load=True).refused is None
+
+
+def test_permits_of_a_new_revision_wait_until_a_majority_knows_it():
+    issuing = Issuing()
+    issuing.issuer.set_tree(orders_tree(6, 1, 4, 2))
+    refused = issuing.ask(A, ENGINES[0], revision=6).refused
+    assert refused is Refused.NOT_ISSUER
+    issuing.renew(QUIET_END, revision=6)
+    assert issuing.ask(A, ENGINES[0], revision=6).refused is None
+
+
 def test_lower_rate_waits_for_the_loads_of_the_higher_one():
     issuing = Issuing(rate=60)
     issuing.ask(A, ENGINES[0], load=True)
