--- a/src/yuccafold/delivery/_ledger.py
+++ b/src/yuccafold/delivery/_ledger.py
@@ -67,7 +67,13 @@
         self._timing = timing
         self._views = ViewHistory(timing)
         self._recovery = Recovery(
-            vm, incarnation, settings.seats, timing, self._views, now
+            vm,
+            incarnation,
+            settings.seats,
+            timing,
+            self._views,
+            now,
+            settings.votes_after_ms(incarnation),
         )
         self._voter = ClaimVoter(timing, self._views, self._recovery)
         self._claimant = Claimant(
@@ -152,6 +158,7 @@
         self.observe_pause(now)
         if now >= self._next_sweep:
             self._next_sweep = Milliseconds(now + SWEEP_INTERVAL)
+            self._views.expire(now)
             self._voter.expire(now)
             self._claimant.expire(now)
         outgoing = self._claimant.tick(now) + self._recovery.tick(now)
--- a/src/yuccafold/delivery/_messages.py
+++ b/src/yuccafold/delivery/_messages.py
@@ -309,34 +309,40 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StrikesRequest:
-    """A VM that started asks for the strikes in force."""
-
-
-MESSAGES = (
-    ("view-announce", ViewAnnounce),
-    ("claim-request", ClaimRequest),
-    ("claim-vote", ClaimVote),
-    ("claim-release", ClaimRelease),
-    ("claim-released", ClaimReleased),
-    ("claim-settled", ClaimSettled),
-    ("answer-query", AnswerQuery),
-    ("answer-reply", AnswerReply),
-    ("recovery-request", RecoveryRequest),
-    ("recovery-page", RecoveryPage),
-    ("strike-report", StrikeReport),
-    ("strike-ack", StrikeAck),
-    ("strikes-cleared", StrikesCleared),
-    ("trial-request", TrialRequest),
-    ("trial-reply", TrialReply),
-    ("trial-ended", TrialEnded),
-    ("strikes-request", StrikesRequest),
+    """Asks for the strikes in force, unless they have the asker's ``digest``."""
+
+    digest: int
+
+
+CLAIM_MESSAGES = (
+    ("claims.view-announce", ViewAnnounce),
+    ("claims.claim-request", ClaimRequest),
+    ("claims.claim-vote", ClaimVote),
+    ("claims.claim-release", ClaimRelease),
+    ("claims.claim-released", ClaimReleased),
+    ("claims.claim-settled", ClaimSettled),
+    ("claims.answer-query", AnswerQuery),
+    ("claims.answer-reply", AnswerReply),
+    ("claims.recovery-request", RecoveryRequest),
+    ("claims.recovery-page", RecoveryPage),
 )
-"""The kind on the wire and the class of every message of this package."""
+"""The kind on the wire and the class of the messages for ``OnceLedger``."""
+
+QUARANTINE_MESSAGES = (
+    ("quarantine.strike-report", StrikeReport),
+    ("quarantine.strike-ack", StrikeAck),
+    ("quarantine.strikes-cleared", StrikesCleared),
+    ("quarantine.trial-request", TrialRequest),
+    ("quarantine.trial-reply", TrialReply),
+    ("quarantine.trial-ended", TrialEnded),
+    ("quarantine.strikes-request", StrikesRequest),
+)
+"""The kind on the wire and the class of the messages for ``Quarantine``."""
 
 
 def register_messages() -> None:
     """Register every message of this package with the peer codec."""
     from yuccafold.fleet import register
 
-    for kind, message in MESSAGES:
+    for kind, message in CLAIM_MESSAGES + QUARANTINE_MESSAGES:
         register(kind, message)
--- a/src/yuccafold/placement/_owner.py
+++ b/src/yuccafold/placement/_owner.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import final
@@ -20,7 +19,9 @@
 from yuccafold.placement._messages import HeldSlot
 from yuccafold.placement._messages import SlotQuery
 from yuccafold.placement._messages import SlotReport
+from yuccafold.placement._messages import TargetLoad
 from yuccafold.placement._owners import OwnerTable
+from yuccafold.placement._owners import owners_among
 from yuccafold.placement._slots import SlotKey
 from yuccafold.placement._slots import SlotTable
 from yuccafold.placement._takeover import MemoryLoss
@@ -100,6 +101,12 @@
         """Whether nobody would miss what this VM knows."""
         return not self._tenures and not self._unclaimed
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this VM grants slots on every target that it owns."""
+        tenures = self._tenures.values()
+        return all(tenure.phase is Phase.GRANTING for tenure in tenures)
+
     def take_taken_over(self) -> list[TargetId]:
         """Return the targets taken over since the last call."""
         targets = self._taken_over
@@ -113,7 +120,7 @@
 
     def view_changed(self, view: FleetView, now: Milliseconds) -> None:
         """Adopt a list of VMs and targets; ownership follows from it."""
-        self._owners = OwnerTable(view.vms)
+        self._owners = owners_among(view.vms)
         self._losses.view_changed(view.vms, now)
         self._targets.view_changed(view.targets, now)
         listed = [state.id for states in view.targets.values() for state in states]
@@ -256,6 +263,10 @@
         key = SlotKey(slot.holder, slot.incarnation, slot.number)
         self._slots.add(key, slot.target, Milliseconds(now + slot.remaining_ms))
 
-    def counts(self, targets: Iterable[TargetId]) -> Mapping[TargetId, int]:
-        """Return the slots known to be held on each of ``targets``."""
-        return {target: self._slots.count(target) for target in targets}
+    def loads(self) -> tuple[TargetLoad, ...]:
+        """Return what the targets carry on which this VM grants slots."""
+        return tuple(
+            TargetLoad(target, self._slots.count(target))
+            for target, tenure in self._tenures.items()
+            if tenure.phase is Phase.GRANTING
+        )
