--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -98,7 +98,7 @@
             MembershipSettings(), self._me, incarnation, now, rng
         )
         self.once = OnceLedger(vm, incarnation, settings.claims, limit, rng, now)
-        self.guard = TargetGuard(Quarantine(vm, rng, now))
+        self.guard = TargetGuard(Quarantine(vm, limit, rng, now))
         slots = LedgerSettings(
             list_lag_ms=Milliseconds(settings.slots.list_lag_ms),
             floor_lease_ms=Milliseconds(settings.slots.floor_lease_ms),
--- a/src/yuccafold/delivery/_recovery.py
+++ b/src/yuccafold/delivery/_recovery.py
@@ -51,6 +51,7 @@
         self._seats = seats
         self._timing = timing
         self._views = views
+        self._started = started
         self._remembers_from = started + timing.hold
         if votes_after is not None:
             self._remembers_from = started + votes_after
