Let calls wait for a slot, by priority and fairly over client accounts

Cause: a call was refused as soon as every candidate had refused it, so the callers repeated what a wait of some milliseconds would have served.

Change: sans-I/O WaitQueue (yuccafold.admission), per service, at most queue_length long; lanes by priority, deficit round robin over accounts by expected tokens in each. Two calls of a service ask at a time, after a release here or at jittered times that back off; a retry asks the two best candidates and two others. A newcomer does not overtake. A full queue sheds the lowest priority, and of it the newest call of the account with the most tokens waiting, so an account that fills the queue cannot close it to the others. The retry time of a refusal is spread and grows with the queue.

--- a/src/yuccafold/control/_commands.py
+++ b/src/yuccafold/control/_commands.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import AccountId
 from yuccafold._ids import CallId
 from yuccafold._ids import ChatId
 from yuccafold._ids import ServiceId
@@ -30,15 +31,20 @@
 @final
 @dataclass(frozen=True, slots=True, eq=False)
 class PlaceCall:
-    """Ask for a slot on the best target that has room."""
+    """Ask for a slot on the best target that has room.
+
+    ``tokens`` is the work expected, of prompt and answer, of at least 1.
+    """
 
     call: CallId
+    account: AccountId
     service: ServiceId
     chat: ChatId | None
     hint: TargetId | None
     excluded: frozenset[TargetId]
     policy: Policy
     deadline: Milliseconds
+    tokens: int = 1
     reply: Reply[Result[Placement, Refusal]] = field(default_factory=Reply)
 
 
--- a/src/yuccafold/control/_gates.py
+++ b/src/yuccafold/control/_gates.py
@@ -62,12 +62,14 @@
         turn = call.turn
         command = PlaceCall(
             call.id,
+            call.account,
             call.service,
             None if turn is None else turn.chat,
             None if turn is None else turn.hint,
             excluded,
             call.policy,
             call.deadline,
+            1 if turn is None else max(1, turn.prompt_tokens + turn.answer_tokens),
         )
         try:
             self._control.post(command)
--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -162,6 +162,7 @@
         outgoing += self.places.ledger.tick(now)
         outgoing += self.replica.tick(now)
         outgoing += self._refresh_targets(now)
+        outgoing += self.places.tick(now)
         self.replica.set_partners(tuple(self.membership.partners))
         return outgoing + self._settle(now)
 
