Restart the router whose addresses are free

Cause: the demo's routers stand in the order in which they became ready, so that at times the second was drained and the first started again on addresses in use. Ruled out: outgoing connections on those ports (below their range). Change: routers stand in the order of their settings.

--- a/src/yuccafold/demo/_fleet.py
+++ b/src/yuccafold/demo/_fleet.py
@@ -40,6 +40,7 @@
 
 VM_LIST_LAG_MS = 1_000
 POLL_SECONDS = 0.05
+PORTS = random.SystemRandom()
 FIRST_PORT = 15_000
 FIRST_OUTGOING_PORT = 32_768
 FIRST_START_WINDOW_MS = 2_000
@@ -103,9 +104,11 @@
         ]
         self._publish()
         # Each waits for the others, so they start together.
+        started: dict[str, Router] = {}
         async with trio.open_nursery() as starting:
             for process in self._processes:
-                starting.start_soon(self._start_first, process)
+                starting.start_soon(self._start_first, process, started)
+        self._routers = [started[process.vm] for process in self._processes]
         while any(map(_is_recovering, self._routers)):
             await trio.sleep(POLL_SECONDS)
 
@@ -166,8 +169,10 @@
             drain_notice_ms=500,
         )
 
-    async def _start_first(self, process: ProcessSettings) -> None:
-        self._routers.append(await self._start_router(process))
+    async def _start_first(
+        self, process: ProcessSettings, started: dict[str, Router]
+    ) -> None:
+        started[process.vm] = await self._start_router(process)
 
     async def _start_router(self, process: ProcessSettings) -> Router:
         router = Router(process, seed=self._settings.seed)
@@ -183,7 +188,8 @@
     that a router that restarts finds its own still free.
     """
     while True:
-        port = random.randrange(FIRST_PORT, FIRST_OUTGOING_PORT)
+        # Not the shared generator: a test that seeds it would run into another.
+        port = PORTS.randrange(FIRST_PORT, FIRST_OUTGOING_PORT)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return f"127.0.0.1:{port}"
