--- a/src/yuccafold/bench/_delivery.py
+++ b/src/yuccafold/bench/_delivery.py
@@ -62,18 +62,16 @@
 
     The baseline is the share without any fault.
     """
-    calm = _refused_share(seeds, None)
+    calm = _refused_share(seeds)
     yield Figure("delivery_refused_share_no_fault", calm, "share")
     for fault in Fault:
         name = f"delivery_refused_share_{fault.name.lower()}"
         yield Figure(name, _refused_share(seeds, fault), "share", calm)
 
 
-def _refused_share(seeds: range, fault: Fault | None) -> float:
+def _refused_share(seeds: range, *faults: Fault) -> float:
     load = Load(unkeyed=0, lookups=0, chats=0, lethal=0)
-    runs = [
-        ChaosRun(seed, Scenario(load, fault, fault is not None)).run() for seed in seeds
-    ]
+    runs = [ChaosRun(seed, Scenario(load, faults)).run() for seed in seeds]
     refused = sum(run.booking_refused for run in runs)
     return refused / sum(run.booking_calls for run in runs)
 
@@ -190,7 +188,7 @@
 
 def _engines_lost(seed: int, callers: int) -> int:
     load = Load(0, 0, 0, chats=40, lethal=1, lethal_callers=callers)
-    return ChaosRun(seed, Scenario(load, with_faults=False)).run().engines_lost
+    return ChaosRun(seed, Scenario(load, ())).run().engines_lost
 
 
 def _amplification(seed: int) -> Figure:
--- a/src/yuccafold/chaos/_protections.py
+++ b/src/yuccafold/chaos/_protections.py
@@ -15,8 +15,10 @@
 from yuccafold._verdict import VerdictRecord
 from yuccafold.chaos import _flows
 from yuccafold.chaos._run import CALM_LETHAL
+from yuccafold.chaos._run import LATE_RESTARTS
 from yuccafold.chaos._run import LOSSY_LETHAL
 from yuccafold.chaos._run import MIXED
+from yuccafold.chaos._run import SILENT_PAUSES
 from yuccafold.chaos._run import Scenario
 from yuccafold.delivery import AttemptEnd
 from yuccafold.delivery import BodyDigest
@@ -137,7 +139,7 @@
         Protection(
             "recovery-majority",
             "a restarted seat reads enough others before it votes",
-            1,
+            76,
             (
                 Weakening(Recovery, "_knows_key", _one_reader),
                 Weakening(Recovery, "_knows_every_key", _one_reader),
@@ -148,6 +150,7 @@
             "a restarted seat waits a claim window before it reads",
             1,
             (Weakening(Recovery, "tick", _read_at_once),),
+            LATE_RESTARTS,
         ),
         Protection(
             "claim-window",
@@ -159,6 +162,7 @@
                     Claimant, "_tick_gathering", lambda claimant, attempt, now: []
                 ),
             ),
+            LATE_RESTARTS,
         ),
         Protection(
             "release-id",
@@ -171,6 +175,7 @@
             "a claim is checked again before the first byte",
             1,
             (Weakening(Claimant, "_is_valid", lambda claimant, attempt, now: True),),
+            SILENT_PAUSES,
         ),
         Protection(
             "list-freshness",
--- a/src/yuccafold/chaos/_run.py
+++ b/src/yuccafold/chaos/_run.py
@@ -68,23 +68,21 @@
 class Scenario:
     """What callers want, which faults come, and the engines one request may end.
 
-    ``only`` is the one fault that comes; without it two come at a time.
+    Two of ``faults`` come at a time, or the only one.
     """
 
     load: Load = Load()
-    only: Fault | None = None
-    with_faults: bool = True
+    faults: tuple[Fault, ...] = tuple(Fault)
     max_engines_lost: int = MAX_PARTS * POLICY.lethal_attempts
 
 
 MIXED = Scenario()
 LETHAL_LOAD = Load(bookings=0, unkeyed=0, lookups=0, lethal=10, lethal_callers=8)
-CALM_LETHAL = Scenario(
-    LETHAL_LOAD, with_faults=False, max_engines_lost=POLICY.lethal_attempts
-)
-LOSSY_LETHAL = Scenario(
-    LETHAL_LOAD, Fault.LOSS, max_engines_lost=POLICY.lethal_attempts
-)
+CALM_LETHAL = Scenario(LETHAL_LOAD, (), POLICY.lethal_attempts)
+LOSSY_LETHAL = Scenario(LETHAL_LOAD, (Fault.LOSS,), POLICY.lethal_attempts)
+BOOKINGS_LOAD = Load(bookings=500, unkeyed=0, lookups=0, chats=0, lethal=0)
+LATE_RESTARTS = Scenario(BOOKINGS_LOAD, (Fault.RESTARTS, Fault.LATENESS))
+SILENT_PAUSES = Scenario(BOOKINGS_LOAD, (Fault.PAUSES, Fault.SILENCE))
 
 
 @final
@@ -140,14 +138,13 @@
             router.peers = {each.vm: each for each in self._routers}
         self._callers = Callers(self._world, self._routers)
         self._schedule = Schedule(
-            self._world, self._routers, self._platform, scenario.only
+            self._world, self._routers, self._platform, scenario.faults
         )
         self._want(scenario.load)
 
     def run(self) -> ChaosResult:
         """Run to the end and check what happened."""
-        if self._scenario.with_faults:
-            self._schedule.begin(WARM_MS, WARM_MS + BUSY_MS)
+        self._schedule.begin(WARM_MS, WARM_MS + BUSY_MS)
         self._world.run_until(WARM_MS + BUSY_MS + DRAIN_MS)
         return self.result()
 
--- a/src/yuccafold/chaos/_schedule.py
+++ b/src/yuccafold/chaos/_schedule.py
@@ -36,25 +36,24 @@
         world: World,
         routers: Sequence[Router],
         platform: Platform,
-        only: Fault | None = None,
+        faults: Sequence[Fault],
     ) -> None:
         self._world = world
         self._routers = routers
         self._platform = platform
-        self._only = only
+        self._faults = faults
         self._active: set[Fault] = set()
 
     def begin(self, at_ms: float, until_ms: float) -> None:
         """Let faults follow each other between two instants."""
-        lanes = FAULTS_AT_ONCE if self._only is None else 1
-        for _ in range(lanes):
+        for _ in range(min(FAULTS_AT_ONCE, len(self._faults))):
             self._world.after(at_ms, lambda: self._next(until_ms))
 
     def _next(self, until_ms: float) -> None:
         if self._world.exact_now >= until_ms:
             return
-        idle = [fault for fault in Fault if fault not in self._active]
-        fault = self._only or self._world.rng.choice(idle)
+        idle = [fault for fault in self._faults if fault not in self._active]
+        fault = self._world.rng.choice(idle)
         duration = self._world.rng.uniform(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)
         if fault is Fault.ISOLATION:
             duration = LONGEST_ISOLATION_MS
--- a/testing/delivery/test_ledger.py
+++ b/testing/delivery/test_ledger.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from delivery.claim_fleet import STEP
 from delivery.claim_fleet import ClaimFleet
 from delivery.claim_fleet import view_of
 from yuccafold._verdict import Verdict
@@ -130,3 +131,96 @@
     fleet.run(2_000)
     for vm in ("vm-1", "vm-4", "vm-9"):
         assert claim(fleet, f"from-{vm}", vm).refusal.code == "key-uncertain"
+
+
+def test_votes_count_only_within_the_window(fleet):
+    fleet.start("c1", "vm-0")
+    for _ in range(3):
+        fleet.now += 400
+        for ledger in fleet.ledgers.values():
+            ledger.confirm_view(VIEW, fleet.now)
+    fleet.settle()
+    assert not isinstance(fleet.outcomes["c1"], Granted)
+
+
+def test_restarted_seat_reads_others_only_after_a_claim_window(fleet):
+    ledger = fleet.ledgers["vm-1"]
+    fleet.boot("vm-1", VIEW)
+    begun = fleet.now
+    asked_at = []
+    while fleet.now < begun + 2 * ledger.timing.window:
+        fleet.now += 50
+        outgoing = fleet.ledgers["vm-1"].tick(fleet.now)
+        asked_at += [fleet.now for each in outgoing]
+    assert min(asked_at) > begun + ledger.timing.window
+
+
+def test_vote_before_a_restart_is_not_forgotten_while_others_still_vote(fleet):
+    """A majority of a seat that restarts and of one that votes later."""
+    fleet.start("c1", "vm-0")
+    restarts, votes_late, _ = sorted({each.to for each in fleet.pool})
+    late = [each for each in fleet.pool if each.to == votes_late]
+    fleet.pool = [each for each in fleet.pool if each.to == restarts]
+    fleet.settle()
+    fleet.boot(restarts, VIEW)
+    ticking = [vm for vm in fleet.ledgers if vm != "vm-0"]
+    for _ in range(4):
+        fleet.now += STEP
+        fleet.ledgers["vm-0"].observe_pause(fleet.now)
+        fleet.tick(ticking)
+        fleet.settle()
+    fleet.pool = late
+    fleet.settle()
+    assert isinstance(fleet.outcomes["c1"], Granted)
+    fleet.run(3_000)
+    for vm in ("vm-3", "vm-4"):
+        assert claim(fleet, f"from-{vm}", vm).refusal.code == "key-in-use"
+
+
+def test_restarted_seat_that_reads_too_few_others_abstains(fleet):
+    fleet.start("c1", "vm-0")
+    seats = sorted({each.to for each in fleet.pool})
+    fleet.settle()
+    fleet.boot(seats[0], VIEW)
+    del fleet.ledgers[seats[1]]
+    fleet.run(3_000)
+    assert fleet.ledgers[seats[0]].is_recovering(fleet.now)
+    caller = next(vm for vm in fleet.ledgers if vm not in seats)
+    assert not isinstance(claim(fleet, "c2", caller), Granted)
+
+
+def test_granted_claim_allows_sending_only_for_a_while(fleet):
+    claim(fleet, "c1", "vm-0")
+    fleet.run(fleet.ledgers["vm-0"].timing.send_validity + 100)
+    refusal = fleet.ledgers["vm-0"].authorize_send("c1", fleet.now)
+    assert (refusal.code, refusal.verdict) == ("claim-void", Verdict.NOT_RUN)
+
+
+def test_full_seat_abstains_and_evicts_nothing(fleet, monkeypatch):
+    run_call(fleet, "c1", "vm-0", Verdict.MAY_HAVE_RUN)
+    for ledger in fleet.ledgers.values():
+        monkeypatch.setattr(ledger._voter, "_limit", ledger.held)
+    assert claim(fleet, "c2", "vm-1", key=b"new").refusal.code == "claim-unreachable"
+    assert claim(fleet, "c3", "vm-1").refusal.code == "key-uncertain"
+
+
+def test_sent_call_cannot_end_as_not_run(fleet):
+    claim(fleet, "c1", "vm-0")
+    ledger = fleet.ledgers["vm-0"]
+    ledger.authorize_send("c1", fleet.now)
+    with pytest.raises(AssertionError):
+        ledger.finish("c1", Verdict.NOT_RUN, None, fleet.now)
+    ledger.rearm("c1")
+    assert ledger.finish("c1", Verdict.NOT_RUN, None, fleet.now)
+
+
+def test_late_request_of_a_released_claim_holds_nothing(fleet):
+    fleet.start("c1", "vm-0")
+    requests = list(fleet.pool)
+    fleet.settle()
+    outgoing = fleet.ledgers["vm-0"].finish("c1", Verdict.NOT_RUN, None, fleet.now)
+    fleet.post("vm-0", outgoing)
+    fleet.settle()
+    fleet.pool = requests
+    fleet.settle()
+    assert {ledger.held for ledger in fleet.ledgers.values()} == {0}
