Count slots not given back as in flight; raise floors sooner

Cause: leaving out one request of the others cost reuse at small loads. Change: the margin is a setting and 0; floors rise after 20 ms; the bench counts admissions above the bound by held slots and, apart, by requests still running.

--- a/src/yuccafold/bench/_placement.py
+++ b/src/yuccafold/bench/_placement.py
@@ -198,6 +198,10 @@
         yield Figure(f"skew_{label}_{suffix}", steady.skew_at(percentile), "ratio")
     above = sum(measures.above_bound for measures in phases.values())
     yield Figure(f"above_bound_{suffix}", above, "admissions", 0)
+    running = sum(measures.above_running for measures in phases.values())
+    yield Figure(f"above_bound_running_{suffix}", running, "admissions", 0)
+    admitted = sum(measures.admitted for measures in phases.values())
+    yield Figure(f"admissions_{suffix}", admitted, "admissions")
     for phase, measures in phases.items():
         refused = refused_percent(measures)
         yield Figure(f"refused_{phase}_{suffix}", refused, "percent")
@@ -249,6 +253,8 @@
     for label, measures in (("before", before), ("during", during), ("after", after)):
         name = f"partition_{label}_{size.name}"
         yield Figure(f"{name}_above_bound", measures.above_bound, "admissions", 0)
+        running = measures.above_running
+        yield Figure(f"{name}_above_bound_running", running, "admissions", 0)
         yield Figure(f"{name}_refused", refused_percent(measures), "percent")
         yield Figure(f"{name}_reuse", measures.reuse, "percent")
 
--- a/src/yuccafold/bench/_routers.py
+++ b/src/yuccafold/bench/_routers.py
@@ -111,6 +111,12 @@
         self._view_changed()
         self.targets_changed()
         world.after(1_000, self._sum)
+        if routers <= DIRECT_FLOORS_LIMIT:
+            world.unreleased = self._unreleased
+
+    def _unreleased(self) -> int:
+        clients = (router.ledger.client for router in self.routers.values())
+        return sum(client.unreleased(SERVICE) for client in clients)
 
     @property
     def _now(self) -> Milliseconds:
--- a/src/yuccafold/placement/_client.py
+++ b/src/yuccafold/placement/_client.py
@@ -85,6 +85,10 @@
         """Return how many requests of ``service`` hold slots and go on."""
         return self._running[service]
 
+    def unreleased(self, service: ServiceId) -> int:
+        """Return how many slots of ``service`` are held, ended requests' too."""
+        return self._unreleased[service]
+
     def floors(self, now: Milliseconds) -> dict[ServiceId, int]:
         """Return the requests of each service that outlast a floor's lease."""
         horizon = now + self.settings.floor_lease_ms
--- a/src/yuccafold/placement/_view.py
+++ b/src/yuccafold/placement/_view.py
@@ -48,10 +48,12 @@
     """The longest that one request may run."""
     floor_lease_ms: Milliseconds = Milliseconds(2_000)
     """How long a promised floor holds without being renewed."""
-    floor_interval_ms: Milliseconds = Milliseconds(200)
+    floor_interval_ms: Milliseconds = Milliseconds(20)
     """How long a higher floor may wait; a lower one is sent at once."""
-    completion_margin: int = 1
-    """Requests of other VMs that may have ended while the news travels."""
+    completion_margin: int = 0
+    """Requests of other VMs that are left out of the count, as they may have
+    ended while the news of it travels. Slots not yet given back count as in
+    flight; with 1, the bound holds against requests still running as well."""
     answer_timeout_ms: Milliseconds = Milliseconds(200)
     """How long an owner's answer is waited for."""
     pause_limit_ms: Milliseconds = Milliseconds(1_000)
