Damp flaps only, not the first return of a target

Cause: one engine of five that came back was asked last for 30 s, while the bound already counted it: the other four overflowed and their chats scattered. Change: a target is damped from its second stop within ten minutes on.

--- a/src/yuccafold/placement/_view.py
+++ b/src/yuccafold/placement/_view.py
@@ -72,7 +72,8 @@
     """How long a joining target takes to reach its full weight."""
     ramp_steps: int = 8
     flap_damping_ms: Milliseconds = Milliseconds(30_000)
-    """How long a target that came back gets no chats that it did not have."""
+    """How long a flapping target that came back gets no new first choices."""
+    flap_window_ms: Milliseconds = Milliseconds(600_000)
     hints: int = 65_536
     """How many chats' last known targets are remembered."""
     hint_lifetime_ms: Milliseconds = Milliseconds(3_600_000)
--- a/testing/placement/test_ranker.py
+++ b/testing/placement/test_ranker.py
@@ -105,11 +105,20 @@
     assert shares[0] < shares[4] / 3
 
 
-def test_flapping_target_gets_no_new_chats_but_its_own_return():
+def test_target_that_stopped_once_has_its_share_when_it_is_back():
     ranker = ranker_of(range(5))
+    before = firsts(ranker)
     ranker.targets_changed(SERVICE, states(range(5), down={2}), RAMPED)
     assert "engine-2" not in firsts(ranker)
     ranker.targets_changed(SERVICE, states(range(5)), RAMPED)
+    assert firsts(ranker) == before
+
+
+def test_flapping_target_gets_no_new_chats_but_its_own_return():
+    ranker = ranker_of(range(5))
+    for _ in range(2):
+        ranker.targets_changed(SERVICE, states(range(5), down={2}), RAMPED)
+        ranker.targets_changed(SERVICE, states(range(5)), RAMPED)
     assert "engine-2" not in firsts(ranker)
     hinted = ranker.rank(SERVICE, CHATS[0], TargetId("engine-2"), RAMPED)[0]
     assert hinted.target == "engine-2"
