--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -15,7 +15,15 @@
 from yuccafold.bench import Part
 from yuccafold.cli._command import ExitCode
 
-PARTS: dict[str, str] = {"placement": "yuccafold.bench._placement"}
+PARTS: dict[str, str] = {
+    "router": "yuccafold.bench._router",
+    "placement": "yuccafold.bench._placement",
+    "settings": "yuccafold.bench._settings",
+    "orders": "yuccafold.bench._orders",
+    "fleet": "yuccafold.bench._fleet",
+    "dist": "yuccafold.bench._dist",
+    "delivery": "yuccafold.bench._delivery",
+}
 """The module of each part; it holds ``figures(options)``."""
 
 
