--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -98,7 +98,7 @@
             MembershipSettings(), self._me, incarnation, now, rng
         )
         self.once = OnceLedger(vm, incarnation, settings.claims, limit, rng, now)
-        self.guard = TargetGuard(Quarantine(vm, rng, now))
+        self.guard = TargetGuard(Quarantine(vm, limit, rng, now))
         slots = LedgerSettings(
             list_lag_ms=Milliseconds(settings.slots.list_lag_ms),
             floor_lease_ms=Milliseconds(settings.slots.floor_lease_ms),
@@ -177,6 +177,7 @@
         outgoing += self.places.ledger.tick(now)
         outgoing += self.replica.tick(now)
         outgoing += self._refresh_targets(now)
+        outgoing += self.places.tick(now)
         self.replica.set_partners(tuple(self.membership.partners))
         return outgoing + self._settle(now)
 
