Leave an engine alone that does not answer

Cause: an engine whose state could not be read was read again at every tick, and its owner took a permit for it, which kept others from being changed. Change: it is read once a second, and no permit is asked for before it answers. The carrier's own loop is tested against a stand-in engine.

--- a/src/yuccafold/orders/_carrier.py
+++ b/src/yuccafold/orders/_carrier.py
@@ -5,7 +5,6 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 from typing import final
 
 import trio
@@ -16,6 +15,7 @@
 
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
+from yuccafold._outgoing import Outgoing
 from yuccafold.orders._controller import OrderController
 from yuccafold.orders._desired import EngineOrder
 from yuccafold.orders._desired import Observation
@@ -94,8 +94,9 @@
     controller: OrderController
     clock: Clock
     options: OrderOptions
-    send: Callable[[list[Any]], None]
-    """Takes the ``Outgoing`` messages for peers; must not block."""
+    send: Callable[[list[Outgoing]], None]
+    """Takes the messages for peers; must not block."""
+    tick_ms: int = TICK_MS
 
     async def run(self) -> None:
         """Carry until cancelled; each call runs in a task of its own."""
@@ -105,7 +106,7 @@
                 self.send(self.controller.tick(self.clock.now()))
                 for command in self.controller.commands():
                     nursery.start_soon(self._carry, command, limiter)
-                await trio.sleep(TICK_MS / MS_PER_SECOND)
+                await trio.sleep(self.tick_ms / MS_PER_SECOND)
 
     async def _carry(
         self, command: EngineCommand, limiter: trio.CapacityLimiter
--- a/src/yuccafold/orders/_controller.py
+++ b/src/yuccafold/orders/_controller.py
@@ -216,6 +216,8 @@
             return
         if job.is_read_due(now):
             self._read(engine, job, now)
+        elif job.seen is None:
+            return
         elif not job.is_changing:
             yield from self._release(engine, job)
         else:
--- a/src/yuccafold/orders/_job.py
+++ b/src/yuccafold/orders/_job.py
@@ -123,7 +123,11 @@
 
     def is_read_due(self, now: Milliseconds) -> bool:
         """Return whether the engine's state is to be read before anything else."""
-        if self._seen is None or self._seen_at < self._fresh_after:
+        if self._seen is None:
+            # An engine that does not answer is not called without end.
+            since = now - self._reading_at
+            return self._reading_at == 0 or since >= self._options.changing_read_ms
+        if self._seen_at < self._fresh_after:
             return True
         interval = self._options.read_ms
         if self.is_changing and self.permit is not None:
--- a/testing/orders/test_carrier.py
+++ b/testing/orders/test_carrier.py
@@ -37,21 +37,19 @@
             VmId("vm"), Incarnation(1), options, random.Random(1), clock.now()
         )
         sent = []
-        carrier = OrderCarrier(controller, clock, options, sent.extend)
+        carrier = OrderCarrier(controller, clock, options, sent.extend, tick_ms=1)
         async with trio.open_nursery() as nursery:
             address = await nursery.start(
                 lambda task_status: engine.serve(task_status=task_status)
             )
             controller.set_list([VmId("vm")], clock.now())
             controller.set_tree(parse_tree(TREE.format(address=address)).unwrap())
-            limiter = trio.CapacityLimiter(1)
-            with trio.fail_after(30):
+            nursery.start_soon(carrier.run)
+            with trio.fail_after(60):
                 while not controller.status()[0].done:
-                    clock.advance(200)
+                    clock.advance(100)
                     controller.set_serving({}, clock.now())
-                    sent += controller.tick(clock.now())
-                    for command in controller.commands():
-                        await carrier._carry(command, limiter)
+                    await trio.sleep(0.001)
             nursery.cancel_scope.cancel()
         return engine, sent
 
--- a/testing/orders/test_controller.py
+++ b/testing/orders/test_controller.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -7,9 +9,14 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
+from yuccafold._ids import VmId
 from yuccafold.bench._orders_world import OrdersWorld
+from yuccafold.bench._orders_world import orders_tree
 from yuccafold.bench._orders_world import run_with_faults
 from yuccafold.bench._orders_world import settle
+from yuccafold.orders import EngineAnswer
+from yuccafold.orders import OrderController
+from yuccafold.orders import OrderOptions
 
 SETTLE_LIMIT_MS = 600_000
 
@@ -40,6 +47,23 @@
     assert settle(world, SETTLE_LIMIT_MS) < SETTLE_LIMIT_MS
 
 
+def test_engine_that_does_not_answer_takes_no_permit():
+    now = 0
+    node = OrderController(VmId("vm"), 1, OrderOptions(), random.Random(1), now)
+    node.set_list([VmId("vm")], now)
+    node.set_tree(orders_tree(5, 1, 1, 2, share=0))
+    reads = 0
+    for now in range(1_000, 301_000, 200):
+        node.set_serving({}, now)
+        node.tick(now)
+        for command in node.commands():
+            reads += 1
+            node.answered(command, EngineAnswer(True, None), now)
+    assert node.lease.is_held(now)
+    assert not node.issuer.permits
+    assert 200 < reads <= 300
+
+
 class Orders(RuleBasedStateMachine):
     """Any interleaving of faults and of new settings."""
 
--- a/testing/orders/test_job.py
+++ b/testing/orders/test_job.py
@@ -129,3 +129,11 @@
     assert job.next_order(GRANTED + limit) == LOAD
     read(job, GRANTED + 10, OLD)
     assert job.next_order(GRANTED + 10) == LOAD
+
+
+def test_engine_that_does_not_answer_is_read_again_after_a_while():
+    job = permitted()
+    read(job, GRANTED, None)
+    again = GRANTED + OPTIONS.changing_read_ms
+    assert not job.is_read_due(again - 1)
+    assert job.is_read_due(again)
