--- a/src/yuccafold/delivery/_messages.py
+++ b/src/yuccafold/delivery/_messages.py
@@ -311,9 +311,19 @@
 class StrikesRequest:
     """Asks for the strikes in force, unless they have the asker's ``digest``."""
 
+    number: int
     digest: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class StrikesReply:
+    """The strikes in force, or none where the asker has the same."""
+
+    number: int
+    strikes: tuple[Strike, ...]
+
+
 CLAIM_MESSAGES = (
     ("claims.view-announce", ViewAnnounce),
     ("claims.claim-request", ClaimRequest),
@@ -336,6 +346,7 @@
     ("quarantine.trial-reply", TrialReply),
     ("quarantine.trial-ended", TrialEnded),
     ("quarantine.strikes-request", StrikesRequest),
+    ("quarantine.strikes-reply", StrikesReply),
 )
 """The kind on the wire and the class of the messages for ``Quarantine``."""
 
--- a/src/yuccafold/fleet/_peer.py
+++ b/src/yuccafold/fleet/_peer.py
@@ -126,8 +126,9 @@
     async def _gather(self) -> None:
         """Let messages gather when a frame has just been sent."""
         due = self._last_frame + self._settings.batch_ms
-        wait = max(0, due - self._clock.now())
-        await trio.sleep(wait / MS_PER_SECOND)
+        wait = due - self._clock.now()
+        if wait > 0:
+            await trio.sleep(wait / MS_PER_SECOND)
 
     async def _send(self, link: Link) -> None:
         letters = self.outbox.take(LETTER_BYTES)
--- a/src/yuccafold/fleet/_settings.py
+++ b/src/yuccafold/fleet/_settings.py
@@ -20,6 +20,8 @@
     indirect_helpers: int = 3
     suspicion_ms: int = 4_000
     """How long a suspected VM has to contradict before it is held dead."""
+    hearsay_ms: int = 2_000
+    """How much longer a suspicion lasts with VMs that only heard of it."""
     contact_ms: int = 3_000
     """A VM heard of this recently is only suspected when peers hold it dead."""
     dead_probe_interval_ms: int = 3_000
--- a/src/yuccafold/fleet/_table.py
+++ b/src/yuccafold/fleet/_table.py
@@ -99,6 +99,11 @@
         """A count that grows when a VM is listed, unlisted, dies or comes back."""
         return self._roster_revision
 
+    @property
+    def suspects(self) -> frozenset[VmId]:
+        """The VMs held suspect."""
+        return frozenset(self._suspects)
+
     def __iter__(self) -> Iterator[Member]:
         return iter(self._members.values())
 
@@ -158,6 +163,7 @@
         if member is None or member.status is not MemberStatus.ALIVE:
             return None
         self._set_status(member, MemberStatus.SUSPECT, now)
+        member.suspect_until = Milliseconds(now + self._settings.suspicion_ms)
         return member.update
 
     def expire(self, now: Milliseconds) -> list[MemberUpdate]:
@@ -194,6 +200,14 @@
         """Return the records of listed VMs and of those in recent contact."""
         return [member for member in self if self._in_view(member, now)]
 
+    def entries_alive(self) -> list[VmListEntry]:
+        """Return the listed VMs that are not held dead."""
+        return [
+            member.entry
+            for member in self
+            if member.entry is not None and member.status is not MemberStatus.DEAD
+        ]
+
     def digests(self) -> tuple[int, ...]:
         """Return one digest per bucket of the listed VMs."""
         return tuple(self._digests)
@@ -269,7 +283,9 @@
             self._suspects.discard(member.vm)
         member.status = status
         member.since = now
-        member.suspect_until = Milliseconds(now + self._settings.suspicion_ms)
+        # Who suspects at first hand decides first; the others hear of it.
+        wait = self._settings.suspicion_ms + self._settings.hearsay_ms
+        member.suspect_until = Milliseconds(now + wait)
         self._record(member, _CHANGE_OF[status], now)
 
     def _record(self, member: Member, change: MemberChange, now: Milliseconds) -> None:
--- a/testing/placement/test_ranker.py
+++ b/testing/placement/test_ranker.py
@@ -138,6 +138,27 @@
     assert ranker.rank(SERVICE, CHATS[0], None, RAMPED)[0].target == home
 
 
+def test_earlier_holder_comes_second():
+    ranker = ranker_of(range(5))
+    hint, earlier = TargetId("engine-1"), TargetId("engine-3")
+    ranked = ranker.rank(SERVICE, CHATS[0], hint, RAMPED, None, earlier)
+    assert [c.target for c in ranked[:2]] == [hint, earlier]
+    ranker.hints.stored(SERVICE, CHATS[0], earlier, RAMPED)
+    ranker.hints.stored(SERVICE, CHATS[0], hint, RAMPED)
+    ranked = ranker.rank(SERVICE, CHATS[0], None, RAMPED)
+    assert [c.target for c in ranked[:2]] == [hint, earlier]
+
+
+def test_chat_that_will_be_found_again_starts_where_load_is_least():
+    ranker = ranker_of(range(5))
+    loads = {TargetId(f"engine-{n}"): 5 for n in range(5)}
+    loads[TargetId("engine-4")] = 1
+    first = ranker.rank(SERVICE, CHATS[0], None, RAMPED, loads)[0]
+    assert first.target == "engine-4"
+    hinted = ranker.rank(SERVICE, CHATS[0], TargetId("engine-2"), RAMPED, loads)[0]
+    assert hinted.target == "engine-2"
+
+
 def test_weights_share_chats_by_capacity():
     ranker = Ranker(ZoneId("a"), RankerSettings())
     listed = [
@@ -147,3 +168,18 @@
     ranker.targets_changed(SERVICE, listed, START)
     share = firsts(ranker).count("large") / len(CHATS)
     assert 0.65 < share < 0.85
+
+
+def test_plain_call_prefers_its_own_zone_among_the_first_choices():
+    ranker = Ranker(ZoneId("b"), RankerSettings())
+    listed = [
+        TargetState(TargetId(f"engine-{n}"), ZoneId("ab"[n % 2])) for n in range(6)
+    ]
+    ranker.targets_changed(SERVICE, listed, START)
+    zones = {state.id: state.zone for state in listed}
+    for chat in CHATS[:50]:
+        plain = {c.target for c in ranker.rank(SERVICE, chat, None, RAMPED)[:3]}
+        first = ranker.rank_plain(SERVICE, chat, RAMPED)[0]
+        assert first.target in plain
+        nearby = any(zones[name] == "b" for name in plain)
+        assert (first.reason is CandidateReason.SAME_ZONE) == nearby
