Let digests of 64 unsigned bits reach a peer

Cause: the codec took integers of 63 bits and a sign; digests of VM lists and strikes have 64 bits, so that about half of them were refused as malformed: VMs of a fresh fleet never compared strikes, asked each other four times a second, and with an unlucky VM list no claim could have been voted on. Found by 26 malformed messages in six seconds of the demo's links. The router's gates stand with the router, which ends a circular import. Conclusion: mended.

--- a/src/yuccafold/control/__init__.py
+++ b/src/yuccafold/control/__init__.py
@@ -8,9 +8,6 @@
 from yuccafold.control._commands import OfferSettings
 from yuccafold.control._commands import ServiceAnswered
 from yuccafold.control._commands import TakeList
-from yuccafold.control._gates import FleetAdmission
-from yuccafold.control._gates import FleetGuard
-from yuccafold.control._gates import FleetOnce
 from yuccafold.control._plane import ControlPlane
 from yuccafold.control._task import INBOX_LENGTH
 from yuccafold.control._task import ControlTask
@@ -20,9 +17,6 @@
     "Command",
     "ControlPlane",
     "ControlTask",
-    "FleetAdmission",
-    "FleetGuard",
-    "FleetOnce",
     "LiftQuarantine",
     "ObserveTarget",
     "OfferSettings",
--- a/src/yuccafold/fleet/_fields.py
+++ b/src/yuccafold/fleet/_fields.py
@@ -19,8 +19,8 @@
 Reader = Callable[[Any], Any]
 Writer = Callable[[Any], Any]
 
-INTEGER_LIMIT = 2**63
-"""Integers lie in ``-INTEGER_LIMIT`` up to and without ``INTEGER_LIMIT``."""
+INTEGER_LIMIT = 2**64
+"""Integers lie between minus and plus this; digests have 64 unsigned bits."""
 
 
 @final
@@ -97,7 +97,7 @@
 
 def _read_int(value: Any) -> int:
     if type(value) is not int or not -INTEGER_LIMIT <= value < INTEGER_LIMIT:
-        raise FieldError("expected a 64-bit integer")
+        raise FieldError(f"expected an integer within 64 bits, got {value!r:.40}")
     return value
 
 
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -18,13 +18,13 @@
 from yuccafold.control import INBOX_LENGTH
 from yuccafold.control import ControlPlane
 from yuccafold.control import ControlTask
-from yuccafold.control import FleetAdmission
-from yuccafold.control import FleetGuard
-from yuccafold.control import FleetOnce
 from yuccafold.control import OfferSettings
 from yuccafold.fleet import PeerNetwork
 from yuccafold.router._caller import CallerConnection
 from yuccafold.router._forward import Forwarder
+from yuccafold.router._gates import FleetAdmission
+from yuccafold.router._gates import FleetGuard
+from yuccafold.router._gates import FleetOnce
 from yuccafold.router._identity import CallIds
 from yuccafold.router._listener import Listener
 from yuccafold.router._operator import OperatorPort
