--- a/src/yuccafold/delivery/_messages.py
+++ b/src/yuccafold/delivery/_messages.py
@@ -325,28 +325,28 @@
 
 
 CLAIM_MESSAGES = (
-    ("view-announce", ViewAnnounce),
-    ("claim-request", ClaimRequest),
-    ("claim-vote", ClaimVote),
-    ("claim-release", ClaimRelease),
-    ("claim-released", ClaimReleased),
-    ("claim-settled", ClaimSettled),
-    ("answer-query", AnswerQuery),
-    ("answer-reply", AnswerReply),
-    ("recovery-request", RecoveryRequest),
-    ("recovery-page", RecoveryPage),
+    ("claims.view-announce", ViewAnnounce),
+    ("claims.claim-request", ClaimRequest),
+    ("claims.claim-vote", ClaimVote),
+    ("claims.claim-release", ClaimRelease),
+    ("claims.claim-released", ClaimReleased),
+    ("claims.claim-settled", ClaimSettled),
+    ("claims.answer-query", AnswerQuery),
+    ("claims.answer-reply", AnswerReply),
+    ("claims.recovery-request", RecoveryRequest),
+    ("claims.recovery-page", RecoveryPage),
 )
 """The kind on the wire and the class of the messages for ``OnceLedger``."""
 
 QUARANTINE_MESSAGES = (
-    ("strike-report", StrikeReport),
-    ("strike-ack", StrikeAck),
-    ("strikes-cleared", StrikesCleared),
-    ("trial-request", TrialRequest),
-    ("trial-reply", TrialReply),
-    ("trial-ended", TrialEnded),
-    ("strikes-request", StrikesRequest),
-    ("strikes-reply", StrikesReply),
+    ("quarantine.strike-report", StrikeReport),
+    ("quarantine.strike-ack", StrikeAck),
+    ("quarantine.strikes-cleared", StrikesCleared),
+    ("quarantine.trial-request", TrialRequest),
+    ("quarantine.trial-reply", TrialReply),
+    ("quarantine.trial-ended", TrialEnded),
+    ("quarantine.strikes-request", StrikesRequest),
+    ("quarantine.strikes-reply", StrikesReply),
 )
 """The kind on the wire and the class of the messages for ``Quarantine``."""
 
--- a/src/yuccafold/delivery/_recovery.py
+++ b/src/yuccafold/delivery/_recovery.py
@@ -27,12 +27,13 @@
 class Recovery:
     """Says whether this seat may vote, and reads what it forgot from others.
 
-    Until ``hold`` after its start the seat may have forgotten claims. It may
+    Until ``hold`` after its start the seat may have forgotten claims; on a
+    fleet's first start nothing was forgotten after ``votes_after``. It may
     vote earlier on a key once enough other seats of that key, none of which
     forgot anything itself, showed their claims: so many that every majority
-    that this seat took part in before has one of them. Reading starts
-    a claim window after the start, when claims that this seat voted for before
-    can gain no further vote.
+    that this seat took part in before has one of them. Reading starts a claim
+    window after the start, when claims that this seat voted for before can gain
+    no further vote.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         timing: ClaimTiming,
         views: ViewHistory,
         started: Milliseconds,
+        votes_after: int | None = None,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -50,6 +52,9 @@
         self._timing = timing
         self._views = views
         self._started = started
+        self._remembers_from = started + timing.hold
+        if votes_after is not None:
+            self._remembers_from = started + votes_after
         self._read: dict[ViewDigest, set[VmId]] = defaultdict(set)
         # The resend interval covers the rounding of two clocks.
         self._next_round = Milliseconds(started + timing.window + timing.resend)
@@ -61,7 +66,7 @@
 
     def is_over(self, now: Milliseconds) -> bool:
         """Return whether nothing forgotten can matter any more."""
-        return now >= self._started + self._timing.hold
+        return now >= self._remembers_from
 
     def remembers(
         self, key: ClaimKey, digests: Iterable[ViewDigest], now: Milliseconds
