Measure the processor time of lone messages

Cause: the bench sent single messages back to back, where each also waits for others to share its frame.

--- a/src/yuccafold/bench/_fleet_links.py
+++ b/src/yuccafold/bench/_fleet_links.py
@@ -26,6 +26,8 @@
 PEERS = 60
 MESSAGES = 5_000
 BATCH = 50
+GAP_S = 0.006
+"""Longer than a link waits for more messages."""
 PORT_0 = "127.0.0.1:0"
 BYTES_PER_KB = 1024
 
@@ -47,10 +49,12 @@
         kilobytes = await _memory_of_links(hub, others)
         single = await _cpu(hub, others[0], 1)
         batched = await _cpu(hub, others[0], BATCH)
+        spaced = await _spaced_cpu(hub, others[0])
         round_trip = await _round_trip(hub, others[0])
         nursery.cancel_scope.cancel()
     return [
         Figure("fleet_link_kb_per_end", kilobytes / len(others) / 2, "KB"),
+        Figure("fleet_link_cpu_us_spaced", spaced, "us"),
         Figure("fleet_link_cpu_us_single", single, "us"),
         Figure("fleet_link_cpu_us_batched", batched, "us"),
         Figure("fleet_link_round_trip_ms_p50", round_trip, "ms"),
@@ -125,6 +129,21 @@
     return (time.process_time() - began) / (rounds * batch) * 1e6
 
 
+async def _spaced_cpu(hub: _Vm, other: _Vm) -> float:
+    """Return the same for messages too far apart to wait for one another."""
+    rounds = MESSAGES // 10
+    began = time.process_time()
+    for _ in range(rounds):
+        await trio.sleep(GAP_S)
+    pauses = time.process_time() - began
+    began = time.process_time()
+    for number in range(rounds):
+        await trio.sleep(GAP_S)
+        hub.say(other.id, number)
+        await other.received.receive()
+    return (time.process_time() - began - pauses) / rounds * 1e6
+
+
 async def _round_trip(hub: _Vm, other: _Vm) -> float:
     times = []
     for number in range(200):
