Send slot messages whatever the byte budget says; drop those of an old process

Cause: under load the slots of 4 VMs cost more than 6 KB/s (8.6 KB/s on the wire at 5 calls/s a VM); once the budget's minute was spent, slot messages would be stopped and calls refused to save bytes. And what waited for a VM that restarts reached its next process, for which the numbers mean something else. Conclusion: the bytes themselves are still over the budget at that load and stay to be lowered.

--- a/src/yuccafold/fleet/_outbox.py
+++ b/src/yuccafold/fleet/_outbox.py
@@ -29,7 +29,6 @@
 BUDGET_RESERVE = {
     ByteClass.OTHER: 0.5,
     ByteClass.LIMITS: 0.25,
-    ByteClass.SLOTS: 0.0,
 }
 """Classes that the budget stops, each below this share of the burst.
 
@@ -49,6 +48,7 @@
     UNKNOWN_PEER = "unknown-peer"
     TOO_LARGE = "too-large"
     INBOX_FULL = "inbox-full"
+    RESTARTED = "restarted"
 
 
 @final
--- a/src/yuccafold/fleet/_peer.py
+++ b/src/yuccafold/fleet/_peer.py
@@ -13,6 +13,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import Incarnation
 from yuccafold._ids import VmId
 from yuccafold.fleet._codec import MAX_FRAME_BYTES
 from yuccafold.fleet._codec import encode_frame
@@ -63,6 +64,7 @@
         self._link_opened = trio.Event()
         self._delivering = False
         self._failures = 0
+        self._incarnation: Incarnation | None = None
         self._last_frame = clock.now()
 
     @property
@@ -83,7 +85,14 @@
         return PeerStats(self.vm, len(self.links), self.outbox.size, counts)
 
     def add_link(self, link: Link) -> None:
-        """Use ``link`` from now on."""
+        """Use ``link`` from now on.
+
+        What waits for an earlier process of the VM is dropped: its numbers
+        would mean something else to a later one.
+        """
+        if self._incarnation is not None and link.incarnation != self._incarnation:
+            self.outbox.clear(DropCause.RESTARTED)
+        self._incarnation = link.incarnation
         self.links.append(link)
         self._link_opened.set()
 
--- /dev/null
+++ b/testing/fleet/test_peer.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from yuccafold._clock import ManualClock
+from yuccafold._ids import Incarnation
+from yuccafold._ids import VmId
+from yuccafold.fleet import ByteClass
+from yuccafold.fleet import DropCause
+from yuccafold.fleet import LinkSettings
+from yuccafold.fleet._outbox import Letter
+from yuccafold.fleet._peer import Peer
+from yuccafold.fleet._stats import Counters
+
+
+@dataclass
+class FakeLink:
+    incarnation: Incarnation
+
+
+def make_peer(dropped):
+    def on_drop(letter, cause):
+        dropped.append((letter, cause))
+
+    rng = random.Random(1)
+    settings = LinkSettings()
+    return Peer(VmId("b"), settings, ManualClock(), rng, Counters(), on_drop)
+
+
+def test_what_waits_for_an_earlier_process_is_dropped():
+    dropped = []
+    peer = make_peer(dropped)
+    letter = Letter(b"x", ByteClass.SLOTS)
+    peer.add_link(FakeLink(Incarnation(1)))
+    peer.put(letter)
+    peer.add_link(FakeLink(Incarnation(1)))
+    assert dropped == []
+    peer.add_link(FakeLink(Incarnation(2)))
+    assert dropped == [(letter, DropCause.RESTARTED)]
+    assert not peer.outbox
+
+
+def test_first_messages_wait_for_the_first_link():
+    dropped = []
+    peer = make_peer(dropped)
+    peer.put(Letter(b"x", ByteClass.SLOTS))
+    peer.add_link(FakeLink(Incarnation(1)))
+    assert dropped == []
+    assert peer.outbox
