--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -49,6 +49,7 @@
 from yuccafold.fleet import Membership
 from yuccafold.fleet import MembershipSettings
 from yuccafold.fleet import Received
+from yuccafold.fleet import TargetEvidence
 from yuccafold.fleet import TargetState as Health
 from yuccafold.fleet import VmListEntry
 from yuccafold.fleet import VmListSnapshot
@@ -158,6 +159,8 @@
     def may_serve(self, now: Milliseconds) -> bool:
         """Return whether calls can be taken: under new settings, with slots."""
         ledger = self.places.ledger
+        if self.membership.superseded_by is not None:
+            return False
         is_current = self.readiness(now) is Readiness.READY
         may_place = ledger.owner.is_settled or now >= self._settle_by
         return is_current and may_place and now >= ledger.grants_from
@@ -268,6 +271,9 @@
 
     @_apply.register
     def _(self, command: LeaveTarget, now: Milliseconds) -> list[Outgoing]:
+        if command.answered:
+            evidence = TargetEvidence.ANSWERED
+            self.membership.targets.observe(command.target, evidence, now)
         return self.guard.leave(command, now)
 
     @_apply.register
