Let a peer network run again after it was stopped

Cause: a send after the network's tasks had ended raised RuntimeError, which a supervisor that restarts the network would meet in the sender instead.

Change: the network forgets its nursery when it ends, so that such a send is dropped and counted as unknown-peer.

--- a/src/yuccafold/fleet/_network.py
+++ b/src/yuccafold/fleet/_network.py
@@ -123,11 +123,14 @@
             raise NetworkError(f"{self._settings.peer}: {error}") from error
         self._address = name_of(listeners[0].socket)
         wrapped = [self._wrap(listener) for listener in listeners]
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            await nursery.start(functools.partial(self._serve, wrapped))
-            nursery.start_soon(self._watch_tls)
-            task_status.started(self._address)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                await nursery.start(functools.partial(self._serve, wrapped))
+                nursery.start_soon(self._watch_tls)
+                task_status.started(self._address)
+        finally:
+            self._nursery = None
 
     def send(self, outgoing: Outgoing) -> None:
         """Queue a message without waiting, or drop it and count that."""
--- a/testing/fleet/test_network.py
+++ b/testing/fleet/test_network.py
@@ -237,6 +237,25 @@
     run(scenario)
 
 
+def test_network_runs_again_after_it_was_stopped(keys):
+    async def scenario(nursery):
+        one, other = pair(keys)
+        await start(nursery, other)
+        async with trio.open_nursery() as first_run:
+            await start(first_run, one)
+            one.knows(other)
+            one.say(other, 1)
+            assert await other.hear() == ("a", 1)
+            first_run.cancel_scope.cancel()
+        one.say(other, 2)
+        assert one.network.stats().dropped[0].cause is fleet.DropCause.UNKNOWN_PEER
+        await start(nursery, one)
+        one.knows(other)
+        await one.say_until_heard(other, 3)
+
+    run(scenario)
+
+
 def test_full_inbox_drops_and_counts(keys):
     async def scenario(nursery):
         one = Vm("a", keys.write("a"))
