--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -124,6 +124,7 @@
             placement = await self._place(call, excluded, relay)
             failed = await self._try(call, placement, body, relay)
             if failed is None:
+                self._record_usage(call, relay)
                 return relay
             self._log_failure(call, placement, attempt, failed)
             decision = self._decide(call, attempt, failed, body, relay)
@@ -136,6 +137,15 @@
             await trio.sleep(decision.delay_ms / MS_PER_SECOND)
         raise AssertionError("expected an answer or a refusal")
 
+    def _record_usage(self, call: Call, relay: AnswerRelay) -> None:
+        usage = relay.usage
+        if usage is None:
+            return
+        tokens = self._telemetry.metrics.prompt_tokens
+        fresh = max(0, usage.prompt - usage.cached)
+        tokens.add(usage.cached, {"service": call.service, "cached": True})
+        tokens.add(fresh, {"service": call.service, "cached": False})
+
     async def _place(
         self, call: Call, excluded: frozenset[TargetId], relay: AnswerRelay
     ) -> Placement:
--- /dev/null
+++ b/src/yuccafold/router/_meters.py
@@ -0,0 +1,60 @@
+"""Records what is not tied to one call: control bytes, skew and waiting calls."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import final
+
+import trio
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import ServiceId
+from yuccafold._ids import TargetId
+from yuccafold.control import ControlPlane
+from yuccafold.fleet import ByteClass
+from yuccafold.fleet import PeerNetwork
+from yuccafold.telemetry import Metrics
+
+INTERVAL = Milliseconds(5_000)
+
+
+@final
+class Meters:
+    """Feeds the metrics from the counts of other tasks."""
+
+    def __init__(
+        self, plane: ControlPlane, network: PeerNetwork, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._plane = plane
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+        self._sent: Counter[ByteClass] = Counter()
+
+    async def run(self) -> None:
+        """Record until cancelled."""
+        while True:
+            await trio.sleep(INTERVAL / MS_PER_SECOND)
+            self._record_bytes()
+            self._record_skew(self._clock.now())
+
+    def _record_bytes(self) -> None:
+        sent = Counter(self._network.stats().total.sent)
+        for byte_class, total in sent.items():
+            delta = total - self._sent[byte_class]
+            self._metrics.control_bytes.add(delta, {"class": byte_class.value})
+        self._sent = sent
+
+    def _record_skew(self, now: Milliseconds) -> None:
+        """Record the fullest owned target against its service's mean."""
+        tree = self._plane.tree
+        for name, service in ({} if tree is None else tree.services).items():
+            ledger = self._plane.places.ledger
+            targets = [TargetId(target.id) for target in service.targets]
+            counts = [ledger.owner.slots.count(target) for target in targets]
+            total = ledger.in_flight(ServiceId(name), now)
+            if total > 0 and targets:
+                skew = max(counts) * len(targets) / total
+                self._metrics.skew.record(skew, {"service": name})
--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import final
 
@@ -26,6 +28,21 @@
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 STORED_ANSWER_BYTES = 65_536
+TAIL_BYTES = 1_024
+"""The end of a JSON answer, where engines report the usage."""
+
+USAGE = b'"usage"'
+PROMPT_TOKENS = re.compile(rb'"prompt_tokens":\s*(\d{1,12})')
+CACHED_TOKENS = re.compile(rb'"cached_tokens":\s*(\d{1,12})')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PromptUsage:
+    """Tokens of a prompt, and those of them that were not prefilled again."""
+
+    prompt: int
+    cached: int
 
 
 @final
@@ -46,12 +63,24 @@
         self._stored: StoredAnswer | None = None
         self._caller_left = False
         self._record = VerdictRecord()
+        self._tail = b""
 
     @property
     def started(self) -> bool:
         """Whether a part of the answer is out."""
         return self._responder.started
 
+    @property
+    def usage(self) -> PromptUsage | None:
+        """What the engine said of the prompt, if it did."""
+        if self._call.turn is None:
+            return None
+        prompt = PROMPT_TOKENS.search(self._tail)
+        cached = CACHED_TOKENS.search(self._tail)
+        if prompt is None:
+            return None
+        return PromptUsage(int(prompt[1]), int(cached[1]) if cached else 0)
+
     @property
     def verdict(self) -> Verdict:
         """What is known of the call over all attempts so far."""
@@ -107,6 +136,7 @@
             return
         await self._responder.start(head.status_code, headers, False)
         async for chunk in attempt.chunks():
+            self._tail = (self._tail + chunk)[-TAIL_BYTES:]
             await self._responder.send(chunk)
         await self._responder.finish()
 
@@ -163,4 +193,6 @@
         self._partial = data[end + len(EVENT_END) :]
         self._done = self._done or DONE_EVENT in whole
         self._events += whole.count(EVENT_END)
+        if USAGE in whole:
+            self._tail = whole
         await self._responder.send(whole)
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -27,6 +27,7 @@
 from yuccafold.router._gates import FleetOnce
 from yuccafold.router._identity import CallIds
 from yuccafold.router._listener import Listener
+from yuccafold.router._meters import Meters
 from yuccafold.router._operator import OperatorPort
 from yuccafold.router._orders import OrderTasks
 from yuccafold.router._platform import PlatformTasks
@@ -183,6 +184,9 @@
             self._orders.controller,
         )
         port = OperatorPort(pages.handlers())
+        meters = Meters(
+            self._control.plane, self._network, self._clock, self._telemetry.metrics
+        )
         supervisor = Supervisor("router", self._clock, self._rng)
         children = [
             ChildSpec("control", self._control.run, max_failures=0),
@@ -190,6 +194,7 @@
             *self._platform.children(),
             *self._orders.children(),
             ChildSpec("readiness", self._watch_readiness),
+            ChildSpec("meters", meters.run),
             ChildSpec("callers", partial(callers.run, self._serve_caller)),
             ChildSpec("operators", partial(operators.run, port.serve_connection)),
         ]
