Keep every delivery message within what peers can carry

Cause: the peer codec carries signed 64-bit integers and 64 KiB, while half of the list digests had the 64th bit and answers, strikes and lists could be larger, so such messages never left.

--- a/src/yuccafold/delivery/_answers.py
+++ b/src/yuccafold/delivery/_answers.py
@@ -11,6 +11,12 @@
 TOTAL_ANSWER_BYTES = 16_777_216
 """Bytes that one VM spends on finished answers."""
 
+FIELD_OVERHEAD = 8
+"""Bytes by which a head field is longer on the wire than its text."""
+
+MAX_ANSWER_BYTES = 61_440
+"""Head and body of the largest answer that one message to a VM can carry."""
+
 
 @final
 class AnswerStore:
@@ -30,7 +36,7 @@
     def put(self, claim: ClaimId, answer: StoredAnswer) -> bool:
         """Keep ``answer``; return whether it was small enough."""
         self.drop(claim)
-        if len(answer.body) > self._answer_limit or _size(answer) > self._total:
+        if len(answer.body) > self._answer_limit or _size(answer) > MAX_ANSWER_BYTES:
             return False
         self._answers[claim] = answer
         self._bytes += _size(answer)
@@ -50,5 +56,7 @@
 
 
 def _size(answer: StoredAnswer) -> int:
-    heads = sum(len(field.name) + len(field.value) for field in answer.headers)
+    heads = sum(
+        len(field.name) + len(field.value) + FIELD_OVERHEAD for field in answer.headers
+    )
     return heads + len(answer.body)
--- a/src/yuccafold/delivery/_ledger.py
+++ b/src/yuccafold/delivery/_ledger.py
@@ -38,7 +38,7 @@
 from yuccafold.delivery._voter import ClaimVoter
 from yuccafold.settings import ClaimSettings
 
-PAGE_KEYS = 64
+PAGE_KEYS = 32
 """Keys whose claims one recovery page shows; a page stays under 20 KB."""
 
 SWEEP_INTERVAL = Milliseconds(1_000)
--- a/src/yuccafold/delivery/_quarantine.py
+++ b/src/yuccafold/delivery/_quarantine.py
@@ -19,10 +19,10 @@
 from yuccafold.delivery import _refusals
 from yuccafold.delivery._deaths import SentReport
 from yuccafold.delivery._deaths import TargetDeath
+from yuccafold.delivery._deaths import strikes_of
 from yuccafold.delivery._keys import Fingerprint
 from yuccafold.delivery._messages import Strike
 from yuccafold.delivery._messages import StrikeAck
-from yuccafold.delivery._messages import StrikeId
 from yuccafold.delivery._messages import StrikeReport
 from yuccafold.delivery._messages import StrikesCleared
 from yuccafold.delivery._messages import StrikesReply
@@ -39,6 +39,7 @@
 from yuccafold.delivery._strikes import Standing
 from yuccafold.delivery._strikes import StrikeTable
 from yuccafold.delivery._strikes import Suspect
+from yuccafold.delivery._strikes import pieces
 from yuccafold.delivery._trials import TrialArbiter
 from yuccafold.delivery._views import View
 from yuccafold.settings import Policy
@@ -140,23 +141,24 @@
         report's ``StrikesSpread``, so that a repeat finds every VM informed.
         """
         number = self._new_number()
-        strikes = tuple(
-            Strike(
-                death.service,
-                each.fingerprint,
-                StrikeId(death.target, self._trial_of(each.call), self._vm, number),
-                policy.lethal_attempts,
-                policy.quarantine_ms,
-            )
-            for each in death.in_flight
-        )
+        strikes = strikes_of(death, policy, self._vm, number, self._trial_of)
         for strike in strikes:
             self._strikes.add(strike, now)
-        report = StrikeReport(number, strikes)
-        outgoing = self._reports.send(report, self._others(), now)
+        *earlier, last = pieces(strikes) or [()]
+        outgoing = [
+            each
+            for piece in earlier
+            for each in self._report(self._new_number(), piece, now)
+        ]
+        outgoing += self._report(number, last, now)
         self._note_spread(now)
         return SentReport(number, outgoing)
 
+    def _report(
+        self, number: int, strikes: tuple[Strike, ...], now: Milliseconds
+    ) -> list[Outgoing]:
+        return self._reports.send(StrikeReport(number, strikes), self._others(), now)
+
     def request_trial(
         self,
         call: CallId,
@@ -355,7 +357,13 @@
             strikes, cleared = (), ()
         else:
             cleared = self._strikes.cleared(now)
-        answers = (StrikesReply(message.number, strikes), *cleared)
+        *earlier, last = pieces(strikes) or [()]
+        # Only the last piece's number says that the strikes are known.
+        answers = (
+            *(StrikesReply(0, piece) for piece in earlier),
+            StrikesReply(message.number, last),
+            *cleared,
+        )
         return [Outgoing(sender, each) for each in answers]
 
     @_take.register
--- a/src/yuccafold/delivery/_strikes.py
+++ b/src/yuccafold/delivery/_strikes.py
@@ -21,6 +21,9 @@
 MAX_FINGERPRINTS = 4_096
 """Fingerprints with strikes; when more come, those that lapse first go."""
 
+MAX_STRIKES_PER_MESSAGE = 128
+"""With the longest names a strike takes 350 bytes."""
+
 
 class Standing(Enum):
     """What is known of a request."""
@@ -141,11 +144,11 @@
 
     def digest(self, now: Milliseconds) -> int:
         """Return a digest that is equal where the strikes are."""
-        return xxhash.xxh64_intdigest(
-            b"".join(
-                each.fingerprint + repr(each.id).encode() for each in self.strikes(now)
-            )
+        parts = (
+            each.fingerprint + repr(each.id).encode() for each in self.strikes(now)
         )
+        # Peer messages carry signed integers of 64 bits.
+        return xxhash.xxh64_intdigest(b"".join(parts)) >> 1
 
     def cleared(self, now: Milliseconds) -> tuple[StrikesCleared, ...]:
         """Return the strikes taken back whose reports may still come."""
@@ -180,3 +183,9 @@
         if len(self._entries) > self._limit:
             first = min(self._entries, key=lambda each: self._entries[each].lapses)
             del self._entries[first]
+
+
+def pieces(strikes: tuple[Strike, ...]) -> list[tuple[Strike, ...]]:
+    """Return ``strikes`` in pieces that a message can carry each."""
+    starts = range(0, len(strikes), MAX_STRIKES_PER_MESSAGE)
+    return [strikes[start : start + MAX_STRIKES_PER_MESSAGE] for start in starts]
--- a/src/yuccafold/delivery/_views.py
+++ b/src/yuccafold/delivery/_views.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from itertools import accumulate
 from typing import final
 
 import xxhash
@@ -19,6 +20,10 @@
 MAX_VIEWS = 64
 """More lists than this at once make the VM refuse claims."""
 
+MEMBER_OVERHEAD = 4
+MAX_RECORD_BYTES = 40_000
+"""Bytes of VM lists in one message; the youngest lists go first."""
+
 
 @final
 class View:
@@ -28,7 +33,12 @@
         self.members = tuple(sorted(set(members)))
         self.vms = frozenset(member.vm for member in self.members)
         names = "\n".join(f"{member.vm} {member.zone}" for member in self.members)
-        self.digest = ViewDigest(xxhash.xxh64_intdigest(names.encode()))
+        self.wire_bytes = sum(
+            len(member.vm) + len(member.zone) + MEMBER_OVERHEAD
+            for member in self.members
+        )
+        # Peer messages carry signed integers of 64 bits.
+        self.digest = ViewDigest(xxhash.xxh64_intdigest(names.encode()) >> 1)
 
     def seats(self, key: ClaimKey, count: int) -> tuple[VmId, ...]:
         """Return the ``count`` VMs that ``key`` hashes to, spread over zones.
@@ -107,18 +117,16 @@
 
     def records(self, now: Milliseconds) -> tuple[ViewRecord, ...]:
         """Return the lists that this VM counts with, to tell a peer."""
-        return tuple(self._record(view, now) for view in self.counted(now))
+        return self._fitting(self.counted(now), now)
 
     def missing(
         self, digests: Iterable[ViewDigest], now: Milliseconds
     ) -> tuple[ViewRecord, ...]:
         """Return the lists that a claimant who counts with ``digests`` leaves out."""
         known = frozenset(digests)
-        return tuple(
-            self._record(view, now)
-            for view in self._younger_than(self._timing.view_demand, now)
-            if view.digest not in known
-        )
+        demanded = self._younger_than(self._timing.view_demand, now)
+        left_out = (view for view in demanded if view.digest not in known)
+        return self._fitting(left_out, now)
 
     def is_fresh(self, now: Milliseconds, since: Milliseconds) -> bool:
         """Return whether a list was confirmed lately, and not before ``since``."""
@@ -139,6 +147,20 @@
             if self._last_current[digest] >= now - age
         )
 
+    def _fitting(
+        self, views: Iterable[View], now: Milliseconds
+    ) -> tuple[ViewRecord, ...]:
+        """Return as many records as one message holds, at least one."""
+        ordered = sorted(
+            views, key=lambda view: self._last_current[view.digest], reverse=True
+        )
+        sizes = accumulate(view.wire_bytes for view in ordered)
+        return tuple(
+            self._record(view, now)
+            for view, size in zip(ordered, sizes, strict=True)
+            if view is ordered[0] or size <= MAX_RECORD_BYTES
+        )
+
     def _record(self, view: View, now: Milliseconds) -> ViewRecord:
         return ViewRecord(view.members, max(0, now - self._last_current[view.digest]))
 
