Watch a stream for stalls with one task, not a timer for each part

Cause: a profile of the relay showed a cancel scope and two guards for each token. Change: one task for each stream looks at when the present receive began. Ruled out: one scope across an asynchronous generator's yields, which trio forbids.

--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -135,11 +135,13 @@
             await self._store(attempt, head, headers)
             return
         await self._responder.start(head.status_code, headers, False)
-        async for chunk in attempt.chunks():
-            self._tail = (self._tail + chunk)[-TAIL_BYTES:]
-            await self._responder.send(chunk)
+        await attempt.pass_body(self._pass_part)
         await self._responder.finish()
 
+    async def _pass_part(self, part: bytes) -> None:
+        self._tail = (self._tail + part)[-TAIL_BYTES:]
+        await self._responder.send(part)
+
     async def _store(
         self, attempt: Exchange, head: h11.Response, headers: Headers
     ) -> None:
@@ -149,11 +151,15 @@
         await self._while_caller_stays(
             lambda: self._responder.start(head.status_code, headers, False)
         )
-        async for chunk in attempt.chunks():
-            size += len(chunk)
+
+        async def keep(part: bytes) -> None:
+            nonlocal size
+            size += len(part)
             if size <= STORED_ANSWER_BYTES:
-                kept.append(chunk)
-            await self._while_caller_stays(partial(self._responder.send, chunk))
+                kept.append(part)
+            await self._while_caller_stays(partial(self._responder.send, part))
+
+        await attempt.pass_body(keep)
         if size <= STORED_ANSWER_BYTES:
             self._stored = StoredAnswer(head.status_code, headers, b"".join(kept))
         await self._while_caller_stays(self._responder.finish)
@@ -172,8 +178,7 @@
         self._partial = b""
         if not self.started:
             await self._responder.start(head.status_code, headers, True)
-        async for chunk in attempt.chunks():
-            await self._pass_events(chunk)
+        await attempt.pass_body(self._pass_events)
         if self._partial or not self._done:
             raise AttemptFailed(
                 Verdict.MAY_HAVE_RUN,
--- a/src/yuccafold/router/_upstream.py
+++ b/src/yuccafold/router/_upstream.py
@@ -4,6 +4,8 @@
 
 from collections import deque
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import Enum
@@ -25,6 +27,7 @@
 from yuccafold.router._http import HttpStream
 from yuccafold.router._http import end_to_end
 from yuccafold.router._http import first_value
+from yuccafold.router._stall import StallWatch
 from yuccafold.settings import Target
 
 IDLE_PER_TARGET = 64
@@ -230,18 +233,37 @@
         if echoed is not None and echoed != self._call.id:
             raise self._failed(FailureKind.MALFORMED, "answer of another call")
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the answer's body; the end is reached only by a whole one."""
+    async def pass_body(self, take: Callable[[bytes], Awaitable[None]]) -> None:
+        """Give each part of the answer's body to ``take``; return after a whole one.
+
+        The gap between parts is bounded; the time that ``take`` needs is not.
+        """
         gap = self._call.policy.stream_gap_timeout_ms
-        while True:
-            with self._guard(gap, FailureKind.SILENT):
-                event = await self._stream().next_event()
+        watch = StallWatch(gap / MS_PER_SECOND)
+
+        async def step() -> bool:
+            event = self._stream().http.next_event()
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                raise self._failed(FailureKind.CLOSED, "closed inside its answer")
+                await take(bytes(event.data))
+                return True
+            if event is h11.NEED_DATA:
+                watch.receiving()
+                await self._stream().receive()
+                watch.received()
+                return True
+            if isinstance(event, h11.EndOfMessage):
+                return False
+            raise self._failed(FailureKind.CLOSED, "closed inside its answer")
+
+        try:
+            await watch.run(step)
+        except h11.RemoteProtocolError as error:
+            raise self._broken(error) from error
+        except (OSError, trio.BrokenResourceError) as error:
+            raise self._lost(error) from error
+        if watch.stalled:
+            reason = f"target silent for {gap} ms"
+            raise self._failed(FailureKind.SILENT, reason)
         self._record.advance(Verdict.COMPLETE)
 
     def not_run_as_told(self) -> AttemptFailed:
@@ -269,6 +291,17 @@
         self._reusable = False
         return AttemptFailed(self._record.verdict, kind, reason)
 
+    def _broken(self, error: h11.RemoteProtocolError) -> AttemptFailed:
+        """Return the failure of a target that sent no HTTP, or closed early."""
+        closed = self._http is not None and self._http.eof
+        kind = FailureKind.CLOSED if closed else FailureKind.MALFORMED
+        return self._failed(kind, f"target broke the protocol: {error}")
+
+    def _lost(self, error: Exception) -> AttemptFailed:
+        """Return the failure of a connection that broke or did not open."""
+        kind = FailureKind.CLOSED if self._http else FailureKind.CONNECT
+        return self._failed(kind, f"connection to target failed: {error}")
+
     def _guard(self, timeout_ms: int, late: FailureKind) -> _Guard:
         return _Guard(self, timeout_ms, late)
 
@@ -293,14 +326,9 @@
             reason = f"target silent for {self._timeout_ms} ms"
             raise failed(self._late, reason) from None
         if isinstance(error, h11.RemoteProtocolError):
-            closed = self._exchange._stream().eof
-            as_kind = FailureKind.CLOSED if closed else FailureKind.MALFORMED
-            raise failed(as_kind, f"target broke the protocol: {error}") from error
+            raise self._exchange._broken(error) from error
         if isinstance(error, OSError | trio.BrokenResourceError):
-            as_kind = (
-                FailureKind.CLOSED if self._exchange._http else FailureKind.CONNECT
-            )
-            raise failed(as_kind, f"connection to target failed: {error}") from error
+            raise self._exchange._lost(error) from error
         return bool(swallowed)
 
 
