Let no call outlive its slot, and leave without a loss

Cause: request_timeout_ms could exceed the five minutes that a slot lasts, and then a running request was no longer counted; a VM that drained left its peers to assume that its memory was lost; after a pause slots went on with the list from before it. Change: the timeout's range ends at the slot's lifetime; a drained VM sends its farewells; after a pause slots wait for a confirmed list.

--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -167,14 +167,14 @@
 
     def apply(self, command: Command | Received, now: Milliseconds) -> list[Outgoing]:
         """Carry out a command, or take a peer's message."""
-        outgoing = self._observe(now)
-        outgoing += self._apply(command, now)
+        self._observe(now)
+        outgoing = self._apply(command, now)
         return outgoing + self._settle(now)
 
     def tick(self, now: Milliseconds) -> list[Outgoing]:
         """Do what is due."""
-        outgoing = self._observe(now)
-        outgoing += self.membership.tick(now)
+        self._observe(now)
+        outgoing = self.membership.tick(now)
         outgoing += self.once.tick(now)
         outgoing += self.guard.quarantine.tick(now)
         outgoing += self.places.ledger.tick(now)
@@ -184,12 +184,15 @@
         self.replica.set_partners(tuple(self.membership.partners))
         return outgoing + self._settle(now)
 
-    def _observe(self, now: Milliseconds) -> list[Outgoing]:
-        if not self._pauses.observe(now):
-            return []
-        log_event("process_paused", vm=self._vm, noticed_at=now)
-        self.replica.paused()
-        return self._view_changed(now)
+    def farewells(self, now: Milliseconds) -> list[Outgoing]:
+        """Return the last messages of a VM whose calls have all ended."""
+        return self.places.ledger.leave(now) + self.membership.goodbye()
+
+    def _observe(self, now: Milliseconds) -> None:
+        """Void what a pause outdated; slots wait for a list confirmed after it."""
+        if self._pauses.observe(now):
+            log_event("process_paused", vm=self._vm, noticed_at=now)
+            self.replica.paused()
 
     def _settle(self, now: Milliseconds) -> list[Outgoing]:
         """Answer the tasks that wait and put a new revision in force."""
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -45,6 +45,8 @@
 from yuccafold.telemetry import open_telemetry
 
 READINESS_INTERVAL_SECONDS = 0.05
+FAREWELL_SECONDS = 0.1
+"""How long the last messages to the peers have to go out."""
 
 
 @final
--- a/src/yuccafold/settings/_policy.py
+++ b/src/yuccafold/settings/_policy.py
@@ -16,6 +16,9 @@
 Duration = Annotated[int, Field(ge=1, le=86_400_000)]
 """A timeout in milliseconds, up to a day."""
 
+CallDuration = Annotated[int, Field(ge=1, le=300_000)]
+"""A timeout in milliseconds that no call outlives, as slots last no longer."""
+
 Share = Annotated[float, Field(ge=0.0, le=1.0, strict=False)]
 
 Priority = Literal["low", "normal", "high"]
@@ -48,7 +51,7 @@
     """Until the first byte of an answer."""
     stream_gap_timeout_ms: Duration = 15_000
     """Between two parts of a streamed answer."""
-    request_timeout_ms: Duration = 300_000
+    request_timeout_ms: CallDuration = 300_000
     """For the whole of a request."""
     caller_idle_timeout_ms: Duration = 60_000
     """Until a caller's idle connection is closed."""
