--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import final
 
@@ -26,6 +28,21 @@
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 STORED_ANSWER_BYTES = 65_536
+TAIL_BYTES = 1_024
+"""The end of a JSON answer, where engines report the usage."""
+
+USAGE = b'"usage"'
+PROMPT_TOKENS = re.compile(rb'"prompt_tokens":\s*(\d{1,12})')
+CACHED_TOKENS = re.compile(rb'"cached_tokens":\s*(\d{1,12})')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PromptUsage:
+    """Tokens of a prompt, and those of them that were not prefilled again."""
+
+    prompt: int
+    cached: int
 
 
 @final
@@ -46,12 +63,24 @@
         self._stored: StoredAnswer | None = None
         self._caller_left = False
         self._record = VerdictRecord()
+        self._tail = b""
 
     @property
     def started(self) -> bool:
         """Whether a part of the answer is out."""
         return self._responder.started
 
+    @property
+    def usage(self) -> PromptUsage | None:
+        """What the engine said of the prompt, if it did."""
+        if self._call.turn is None:
+            return None
+        prompt = PROMPT_TOKENS.search(self._tail)
+        cached = CACHED_TOKENS.search(self._tail)
+        if prompt is None:
+            return None
+        return PromptUsage(int(prompt[1]), int(cached[1]) if cached else 0)
+
     @property
     def verdict(self) -> Verdict:
         """What is known of the call over all attempts so far."""
@@ -106,10 +135,13 @@
             await self._store(attempt, head, headers)
             return
         await self._responder.start(head.status_code, headers, False)
-        async for chunk in attempt.chunks():
-            await self._responder.send(chunk)
+        await attempt.pass_body(self._pass_part)
         await self._responder.finish()
 
+    async def _pass_part(self, part: bytes) -> None:
+        self._tail = (self._tail + part)[-TAIL_BYTES:]
+        await self._responder.send(part)
+
     async def _store(
         self, attempt: Exchange, head: h11.Response, headers: Headers
     ) -> None:
@@ -119,11 +151,15 @@
         await self._while_caller_stays(
             lambda: self._responder.start(head.status_code, headers, False)
         )
-        async for chunk in attempt.chunks():
-            size += len(chunk)
+
+        async def keep(part: bytes) -> None:
+            nonlocal size
+            size += len(part)
             if size <= STORED_ANSWER_BYTES:
-                kept.append(chunk)
-            await self._while_caller_stays(partial(self._responder.send, chunk))
+                kept.append(part)
+            await self._while_caller_stays(partial(self._responder.send, part))
+
+        await attempt.pass_body(keep)
         if size <= STORED_ANSWER_BYTES:
             self._stored = StoredAnswer(head.status_code, headers, b"".join(kept))
         await self._while_caller_stays(self._responder.finish)
@@ -142,8 +178,7 @@
         self._partial = b""
         if not self.started:
             await self._responder.start(head.status_code, headers, True)
-        async for chunk in attempt.chunks():
-            await self._pass_events(chunk)
+        await attempt.pass_body(self._pass_events)
         if self._partial or not self._done:
             raise AttemptFailed(
                 Verdict.MAY_HAVE_RUN,
@@ -163,4 +198,6 @@
         self._partial = data[end + len(EVENT_END) :]
         self._done = self._done or DONE_EVENT in whole
         self._events += whole.count(EVENT_END)
+        if USAGE in whole:
+            self._tail = whole
         await self._responder.send(whole)
