Carry two hints, and start hinted chats where there is room

Cause: the daemon ranked by one hint and without the loads that placement's figures assume. Change: the hint header carries the two last targets; services whose callers carry hints say so in their traits, and their new chats start on the least loaded of their engines; settings status shows counts and faults.

--- a/src/yuccafold/control/_commands.py
+++ b/src/yuccafold/control/_commands.py
@@ -33,6 +33,8 @@
 class PlaceCall:
     """Ask for a slot on the best target that has room.
 
+    ``hints`` are the targets that served the chat last, the latest first.
+    ``is_hinted`` says that the chat will be found again by such hints.
     ``tokens`` is the work expected, of prompt and answer, of at least 1.
     """
 
@@ -40,7 +42,8 @@
     account: AccountId
     service: ServiceId
     chat: ChatId | None
-    hint: TargetId | None
+    hints: tuple[TargetId, ...]
+    is_hinted: bool
     excluded: frozenset[TargetId]
     policy: Policy
     deadline: Milliseconds
--- a/src/yuccafold/control/_places.py
+++ b/src/yuccafold/control/_places.py
@@ -124,7 +124,15 @@
         if command.chat is None:
             ranked = self._ranker.rank_plain(command.service, command.call, now)
         else:
-            ranked = self._ranker.rank(command.service, command.chat, command.hint, now)
+            latest, earlier = (*command.hints, None, None)[:2]
+            ranked = self._ranker.rank(
+                command.service,
+                command.chat,
+                latest,
+                now,
+                self._ledger.loads() if command.is_hinted else None,
+                earlier,
+            )
         kept = [each for each in ranked if each.target not in command.excluded]
         # With every target tried already, a second try beats a refusal.
         return kept or ranked
--- a/src/yuccafold/demo/_settings.py
+++ b/src/yuccafold/demo/_settings.py
@@ -52,7 +52,7 @@
                     "kind": "model",
                     "paths": ["/v1"],
                     "targets": _targets(engines, draining),
-                    "traits": {"trusted_not_run": True},
+                    "traits": {"trusted_not_run": True, "callers_carry_hints": True},
                 },
                 "reservations": {
                     "kind": "plain",
--- a/src/yuccafold/router/_call.py
+++ b/src/yuccafold/router/_call.py
@@ -26,7 +26,7 @@
     prompt_tokens: int
     answer_tokens: int
     stream: bool
-    hint: TargetId | None
+    hints: tuple[TargetId, ...]
 
 
 @final
--- a/src/yuccafold/router/_chat.py
+++ b/src/yuccafold/router/_chat.py
@@ -28,6 +28,7 @@
 """The usual ratio for natural-language text, used where no count is known."""
 
 DEFAULT_ANSWER_TOKENS = 256
+MAX_HINTS = 2
 USER_ROLE = "user"
 
 
@@ -59,18 +60,24 @@
         request = _ChatRequest.model_validate_json(body)
     except ValidationError as error:
         return Err(bad_request(_describe(error), 400, "bad_chat_request"))
-    hint = first_value(headers, b"yuccafold-hint")
     return Ok(
         ChatTurn(
             chat=_identity(account, headers, request),
             prompt_tokens=max(1, len(body) // BYTES_PER_TOKEN),
             answer_tokens=request.max_tokens or DEFAULT_ANSWER_TOKENS,
             stream=request.stream,
-            hint=None if hint is None else TargetId(hint),
+            hints=_hints(headers),
         )
     )
 
 
+def _hints(headers: Headers) -> tuple[TargetId, ...]:
+    """Return the targets of the caller's hint; more than two are ignored."""
+    value = first_value(headers, b"yuccafold-hint") or ""
+    names = (name.strip() for name in value.split(","))
+    return tuple(TargetId(name) for name in names if name)[:MAX_HINTS]
+
+
 def _describe(error: ValidationError) -> str:
     faults = (
         f"{'.'.join(map(str, fault['loc'])) or 'body'}: {fault['msg']}"
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -27,6 +27,7 @@
 from yuccafold.delivery import decide_retry
 from yuccafold.router._body import RequestBody
 from yuccafold.router._call import Call
+from yuccafold.router._chat import MAX_HINTS
 from yuccafold.router._errors import HINT_HEADER
 from yuccafold.router._errors import VERDICT_HEADER
 from yuccafold.router._errors import CallRefused
@@ -331,7 +332,9 @@
     )
     added: Headers = ((VERDICT_HEADER, Verdict.COMPLETE.value.encode()),)
     if call.turn is not None:
-        added += ((HINT_HEADER, placement.target.id.encode()),)
+        earlier = (hint for hint in call.turn.hints if hint != placement.target.id)
+        hints = (placement.target.id, *earlier)[:MAX_HINTS]
+        added += ((HINT_HEADER, ",".join(hints).encode()),)
     return kept + added
 
 
--- a/src/yuccafold/router/_gates.py
+++ b/src/yuccafold/router/_gates.py
@@ -60,12 +60,14 @@
     ) -> Result[Placement, Refusal]:
         """Return a target on which a slot is held, or why there is none."""
         turn = call.turn
+        traits = call.settings.traits
         command = PlaceCall(
             call.id,
             call.account,
             call.service,
             None if turn is None else turn.chat,
-            None if turn is None else turn.hint,
+            () if turn is None else turn.hints,
+            turn is not None and (bool(turn.hints) or traits.callers_carry_hints),
             excluded,
             call.policy,
             call.deadline,
--- a/src/yuccafold/router/_status.py
+++ b/src/yuccafold/router/_status.py
@@ -174,7 +174,10 @@
             "vms_by_revision": status.vms_by_revision,
             "newest": status.newest,
             "lagging": status.lagging,
-            "refused": None if status.refused is None else str(status.refused),
+            "counts": asdict(status.counts),
+            "refused": []
+            if status.refused is None
+            else [str(fault) for fault in status.refused.faults],
         }
         return OperatorAnswer(200, value)
 
--- a/src/yuccafold/settings/_tree.py
+++ b/src/yuccafold/settings/_tree.py
@@ -67,6 +67,11 @@
     expect_continue: bool = True
     fencing: bool = False
     kv_transfer: bool = False
+    callers_carry_hints: bool = False
+    """Whether callers send the hint of a chat's last answer with its next turn.
+
+    New chats then start on the least loaded of their engines.
+    """
     trusted_not_run: bool = False
     """Whether a target's own ``Yuccafold-Verdict: not-run`` is believed."""
 
