--- a/src/yuccafold/chaos/_protections.py
+++ b/src/yuccafold/chaos/_protections.py
@@ -133,7 +133,7 @@
         Protection(
             "abstention",
             "a seat that may have forgotten claims abstains",
-            2,
+            10,
             (
                 Weakening(
                     Recovery, "remembers", lambda recovery, key, digests, now: True
@@ -143,7 +143,7 @@
         Protection(
             "recovery-majority",
             "a restarted seat reads enough others before it votes",
-            76,
+            None,
             (
                 Weakening(Recovery, "_knows_key", _one_reader),
                 Weakening(Recovery, "_knows_every_key", _one_reader),
