Ask once more whether a request is suspect, right before its first byte

Cause: between the guard's word and the first byte a connection may be opened, and another VM may report a death with the same request meanwhile. Change: the forwarder asks again; a request that became suspect is tried anew, on trial.

--- a/src/yuccafold/control/_quarantine.py
+++ b/src/yuccafold/control/_quarantine.py
@@ -31,6 +31,7 @@
     """One request on a target, and the death report that named it."""
 
     fingerprint: Fingerprint
+    on_trial: bool
     report: list[Reply[bool]] | None = None
 
 
@@ -57,7 +58,7 @@
             command.reply.put(Err(refusal))
             return []
         if standing is not Standing.SUSPECT:
-            self._admit(command)
+            self._admit(command, on_trial=False)
             return []
         self._trials[command.call] = command
         return self._quarantine.request_trial(
@@ -69,6 +70,16 @@
             now,
         )
 
+    def may_send(self, call: CallId, target: TargetId, now: Milliseconds) -> bool:
+        """Return whether a request that entered may still be written.
+
+        It became suspect meanwhile if another VM reported a death with it.
+        """
+        entry = self._on_target.get(target, {}).get(call)
+        if entry is None or entry.on_trial:
+            return True
+        return self._quarantine.standing(entry.fingerprint, now) is Standing.CLEAR
+
     def leave(self, command: LeaveTarget, now: Milliseconds) -> list[Outgoing]:
         """Take a request off its target."""
         self._trials.pop(command.call, None)
@@ -111,11 +122,11 @@
             if command is None:
                 continue
             if isinstance(outcome, TrialGranted):
-                self._admit(command)
+                self._admit(command, on_trial=True)
             else:
                 command.reply.put(Err(outcome.refusal))
 
-    def _admit(self, command: EnterTarget) -> None:
+    def _admit(self, command: EnterTarget, on_trial: bool) -> None:
         calls = self._on_target.setdefault(command.target, {})
-        calls[command.call] = _OnTarget(command.fingerprint)
+        calls[command.call] = _OnTarget(command.fingerprint, on_trial)
         command.reply.put(Ok(None))
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -190,6 +190,7 @@
             async with exchange(call, placement.target, self._pool) as attempt:
                 await attempt.open()
                 await self._check_claim(call, relay)
+                self._check_suspicion(call, placement.target)
                 await self._exchange(call, placement, attempt, headers, body, relay)
 
     async def _check_claim(self, call: Call, relay: AnswerRelay) -> None:
@@ -198,6 +199,13 @@
         if lapsed is not None:
             await self._give_up(call, lapsed, relay)
 
+    def _check_suspicion(self, call: Call, target: Target) -> None:
+        """Try anew, perhaps on trial, when the request became suspect meanwhile."""
+        if not self._guard.may_send(call, target):
+            raise AttemptFailed(
+                Verdict.NOT_RUN, FailureKind.LAPSED, "the request became suspect"
+            )
+
     async def _exchange(
         self,
         call: Call,
--- a/src/yuccafold/router/_gates.py
+++ b/src/yuccafold/router/_gates.py
@@ -168,8 +168,14 @@
 class FleetGuard:
     """Keeps requests that kill targets from reaching more of them."""
 
-    def __init__(self, control: ControlTask) -> None:
+    def __init__(self, control: ControlTask, clock: Clock) -> None:
         self._control = control
+        self._clock = clock
+
+    def may_send(self, call: Call, target: Target) -> bool:
+        """Return whether the first byte may be written to ``target`` now."""
+        guard = self._control.plane.guard
+        return guard.may_send(call.id, TargetId(target.id), self._clock.now())
 
     async def enter(self, call: Call, target: Target) -> Refusal | None:
         """Return why the request may not go to ``target``, if so."""
--- a/src/yuccafold/router/_interfaces.py
+++ b/src/yuccafold/router/_interfaces.py
@@ -80,6 +80,10 @@
         """Return why the request may not go to ``target``, if so."""
         ...
 
+    def may_send(self, call: Call, target: Target) -> bool:
+        """Return whether the first byte may be written to ``target`` now."""
+        ...
+
     def leave(self, call: Call, target: Target, answered: bool) -> None:
         """Record that the request left ``target``, perhaps with its answer."""
         ...
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -105,7 +105,7 @@
             self._pool,
             FleetAdmission(self._control),
             FleetOnce(self._control, self._clock),
-            FleetGuard(self._control),
+            FleetGuard(self._control, self._clock),
             self._telemetry,
             self._recent,
         )
