End a claimed call by what is known of all its attempts

Cause: a scenario of a caller whose targets all close at the head ended the control task on its own assertion: the claim was marked as sent and then ended as not run, or, when its deadline passed in the queue, as perhaps run without having been sent. Change: the relay notes each attempt's verdict however it ends, cancelled ones too; a claim is told of it; arming a claim again is no fault when it was not sent; one failure of the control task no longer ends the process.

--- a/src/yuccafold/delivery/_claimant.py
+++ b/src/yuccafold/delivery/_claimant.py
@@ -159,10 +159,13 @@
         return None
 
     def rearm(self, call: CallId) -> None:
-        """Allow another send of ``call``, whose last one certainly did not run."""
-        attempt = self._by_call[call]
-        assert attempt.state is AttemptState.SENT, f"{call} is {attempt.state}"
-        attempt.state = AttemptState.GRANTED
+        """Allow another send of ``call``, whose last one certainly did not run.
+
+        A call that was never sent, or is unknown, is left as it is.
+        """
+        attempt = self._by_call.get(call)
+        if attempt is not None and attempt.state is AttemptState.SENT:
+            attempt.state = AttemptState.GRANTED
 
     def finish(
         self,
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -87,7 +87,7 @@
     ) -> None:
         """Answer ``call``; a refusal is raised as ``CallRefused``."""
         if call.key is None:
-            await self._attempts(call, body, responder)
+            await self._attempts(call, body, AnswerRelay(call, responder))
             return
         claimed = await self._once.claim(call)
         if isinstance(claimed, Err):
@@ -103,22 +103,19 @@
     async def _run_claimed(
         self, call: Call, body: RequestBody, responder: Responder
     ) -> None:
-        stored: StoredAnswer | None = None
-        verdict = Verdict.MAY_HAVE_RUN
+        """Run a claimed call and tell the fleet how it ended, whatever happens."""
+        relay = AnswerRelay(call, responder)
         try:
-            relay = await self._attempts(call, body, responder)
-            verdict, stored = Verdict.COMPLETE, relay.stored
-        except CallRefused as refused:
-            verdict = refused.refusal.verdict
-            raise
+            await self._attempts(call, body, relay)
         finally:
-            self._once.finish(call, verdict, stored)
+            if relay.verdict is Verdict.NOT_RUN:
+                self._once.not_sent(call)
+            self._once.finish(call, relay.verdict, relay.stored)
 
     async def _attempts(
-        self, call: Call, body: RequestBody, responder: Responder
-    ) -> AnswerRelay:
+        self, call: Call, body: RequestBody, relay: AnswerRelay
+    ) -> None:
         """Try targets until one answered whole or the policy says to stop."""
-        relay = AnswerRelay(call, responder)
         excluded: frozenset[TargetId] = frozenset()
         self._budget.note_request(call.policy.retry_share)
         for attempt in count(1):
@@ -126,7 +123,7 @@
             failed = await self._try(call, placement, body, relay)
             if failed is None:
                 self._record_usage(call, relay)
-                return relay
+                return
             self._log_failure(call, placement, attempt, failed)
             decision = self._decide(call, attempt, failed, body, relay)
             if isinstance(decision, GiveUp):
@@ -169,7 +166,6 @@
             await self._attempt(call, placement, body, relay)
             answered = True
         except AttemptFailed as failed:
-            relay.note(failed.verdict)
             await self._examine(call, placement.target, failed)
             return failed
         finally:
@@ -188,10 +184,11 @@
             span.set_attribute("yuccafold.placement", placement.reason)
             headers = forwarded_headers(call, traceparent()) + relay.resume_headers
             async with exchange(call, placement.target, self._pool) as attempt:
-                await attempt.open()
-                await self._check_claim(call, relay)
-                self._check_suspicion(call, placement.target)
-                await self._exchange(call, placement, attempt, headers, body, relay)
+                with relay.noting(lambda: attempt.verdict):
+                    await attempt.open()
+                    await self._check_claim(call, relay)
+                    self._check_suspicion(call, placement.target)
+                    await self._exchange(call, placement, attempt, headers, body, relay)
 
     async def _check_claim(self, call: Call, relay: AnswerRelay) -> None:
         """Refuse to send under a claim that a pause or the time has voided."""
--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -5,6 +5,8 @@
 import re
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
 from typing import final
@@ -91,6 +93,24 @@
         if verdict.rank > self.verdict.rank:
             self._record.advance(verdict)
 
+    @contextmanager
+    def noting(self, verdict: Callable[[], Verdict]) -> Iterator[None]:
+        """Note the verdict of the attempt inside, however it ends.
+
+        A failed attempt says its own verdict, which may rest on the target's
+        trusted word; otherwise ``verdict`` says it, also when the call's
+        deadline cancels the attempt.
+        """
+        try:
+            yield
+        except AttemptFailed as failed:
+            self.note(failed.verdict)
+            raise
+        except BaseException:
+            self.note(verdict())
+            raise
+        self.note(verdict())
+
     @property
     def stored(self) -> StoredAnswer | None:
         """The whole answer, if it was small enough to keep."""
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -191,7 +191,7 @@
         )
         supervisor = Supervisor("router", self._clock, self._rng)
         children = [
-            ChildSpec("control", self._control.run, max_failures=0),
+            ChildSpec("control", self._control.run, max_failures=5),
             ChildSpec("peers", self._network.run),
             *self._platform.children(),
             *self._orders.children(),
--- a/testing/router/test_faults.py
+++ b/testing/router/test_faults.py
@@ -398,3 +398,31 @@
         answer = await running.call("GET")
         assert running.runs
         assert answer.verdict != "not-run"
+
+
+@on_trio
+async def test_keyed_call_whose_targets_all_refuse_connections_can_be_made_again():
+    async with fleet(attempts=2, targets=2) as running:
+        key = ("Idempotency-Key", "k")
+        for relay in running.relays:
+            relay.cut()
+        refused = await running.call("POST", key)
+        assert refused.verdict == "not-run"
+        for relay in running.relays:
+            relay.mend()
+        answers = [await running.call("POST", key) for _ in range(20)]
+        assert answers[-1].status == 200
+        assert running.runs == 1
+
+
+@on_trio
+async def test_keyed_call_that_runs_out_of_time_unsent_frees_its_key():
+    async with fleet(attempts=1) as running:
+        running.plain.server.set_faults(Faults(silent=True))
+        key = ("Idempotency-Key", "k")
+        late = await running.call("POST", key, ("Yuccafold-Timeout-Ms", "20"))
+        assert late.status != 200
+        running.plain.server.set_faults(NO_FAULTS)
+        again = await running.call("POST", key)
+        assert again.status in (200, 409)
+        assert running.runs <= 1
