Ask a connection that was idle before it is used

Cause: a lookup or chat turn on a pooled connection that went silent waited for the whole first-byte timeout, 30 s by default. Ruled out: TCP_USER_TIMEOUT, which does not see a middle that acknowledges and forgets.

--- a/src/yuccafold/router/_upstream.py
+++ b/src/yuccafold/router/_upstream.py
@@ -89,17 +89,21 @@
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
 
-    async def take(self, address: str) -> HttpStream | None:
+    async def take(self, address: str) -> IdleConnection | None:
         """Return an idle connection that still looks sound, or ``None``."""
         idle = self._idle.get(address, deque())
         while idle:
             entry = idle.pop()
             fresh = self._clock.now() - entry.since <= IDLE_LIMIT
             if fresh and entry.http.is_clean():
-                return entry.http
+                return entry
             await entry.http.close()
         return None
 
+    def idle_ms(self, entry: IdleConnection) -> int:
+        """Return how long a connection was not used."""
+        return self._clock.now() - entry.since
+
     async def connect(self, address: str) -> HttpStream:
         """Return a new connection to ``address``."""
         host, port = address.rsplit(":", 1)
@@ -140,6 +144,7 @@
         self._record = VerdictRecord()
         self._http: HttpStream | None = None
         self._reusable = True
+        self._is_doubtful = False
 
     @property
     def verdict(self) -> Verdict:
@@ -149,20 +154,35 @@
     @property
     def _holds_body_back(self) -> bool:
         """Whether the target is asked before it gets the body."""
+        needed = not self._call.idempotent or self._is_doubtful
+        return needed and self._can_hold_back
+
+    @property
+    def _can_hold_back(self) -> bool:
         has_body = self._call.body != b""
-        declared = self._call.settings.traits.expect_continue
-        return not self._call.idempotent and has_body and declared
+        return has_body and self._call.settings.traits.expect_continue
 
     async def open(self) -> None:
         """Get a connection: a fresh one where a stale one would cost a doubt."""
-        fresh = not self._call.idempotent and not self._holds_body_back
         address = self._target.address
-        if not fresh:
-            self._http = await self._pool.take(address)
+        if self._call.idempotent or self._can_hold_back:
+            await self._reuse(address)
         if self._http is None:
             with self._guard(self._call.policy.connect_timeout_ms, FailureKind.CONNECT):
                 self._http = await self._pool.connect(address)
 
+    async def _reuse(self, address: str) -> None:
+        """Take an idle connection; one that may have gone silent is asked first."""
+        entry = await self._pool.take(address)
+        if entry is None:
+            return
+        limit = self._call.policy.doubt_after_idle_ms
+        self._is_doubtful = self._pool.idle_ms(entry) > limit
+        if self._is_doubtful and not self._can_hold_back:
+            await entry.http.close()
+        else:
+            self._http = entry.http
+
     async def send(self, headers: Headers, body: RequestBody) -> None:
         """Send the request; a small body travels with the head."""
         request = self._request(headers)
--- a/src/yuccafold/settings/_policy.py
+++ b/src/yuccafold/settings/_policy.py
@@ -47,6 +47,8 @@
     """Until a connection to a target stands."""
     continue_timeout_ms: Duration = 1_000
     """Until a target answers `Expect: 100-continue`."""
+    doubt_after_idle_ms: Duration = 1_000
+    """A connection idle for longer is asked first, or not used again."""
     first_byte_timeout_ms: Duration = 30_000
     """Until the first byte of an answer."""
     stream_gap_timeout_ms: Duration = 15_000
