Show all pages of the operator port by one module

Cause: six commands were copies of each other but for a path. Change: one module and a kind of command for pages.

--- a/src/yuccafold/cli/_command.py
+++ b/src/yuccafold/cli/_command.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import importlib
-from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
@@ -21,8 +20,7 @@
     UNREACHABLE = 3
 
 
-@final
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Command:
     """One command: its flags and what it does.
 
@@ -35,15 +33,38 @@
     summary: str
     module: str
 
+    def define(self, values: flags.FlagValues) -> None:
+        """Define the command's flags."""
+        importlib.import_module(self.module).define(values)
+
+    def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
+        """Run the command and return its exit code."""
+        return int(importlib.import_module(self.module).run(values, arguments))
+
     def invoke(self, arguments: Sequence[str]) -> int:
         """Parse ``arguments`` and run the command."""
-        module = importlib.import_module(self.module)
         values = flags.FlagValues()
         flags.DEFINE_bool("help", False, "Print the flags.", flag_values=values)
-        define: Callable[[flags.FlagValues], None] = module.define
-        define(values)
+        self.define(values)
         rest = values([self.name, *arguments])[1:]
         if values["help"].value:
             print(f"yuccafold {self.name}: {self.summary}\n{values.get_help()}")
             return ExitCode.OK
-        return int(module.run(values, rest))
+        return self.run(values, rest)
+
+
+@final
+@dataclass(frozen=True)
+class PageCommand(Command):
+    """A command that shows the operator port's page of its name."""
+
+    module: str = "yuccafold.cli._pages"
+
+    def define(self, values: flags.FlagValues) -> None:
+        """Define the flags of the page."""
+        importlib.import_module(self.module).define(self.name, values)
+
+    def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
+        """Show the page."""
+        pages = importlib.import_module(self.module)
+        return int(pages.run(self.name, values, arguments))
--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -9,6 +9,7 @@
 
 from yuccafold.cli._command import Command
 from yuccafold.cli._command import ExitCode
+from yuccafold.cli._command import PageCommand
 
 COMMANDS = {
     command.name: command
@@ -19,12 +20,12 @@
             "check and show settings files",
             "yuccafold.cli._settings",
         ),
-        Command("status", "whether and why a router refuses", "yuccafold.cli._status"),
-        Command("targets", "targets, state and owner", "yuccafold.cli._targets"),
-        Command("peers", "VMs that a router knows", "yuccafold.cli._peers"),
-        Command("orders", "engines that a router orders", "yuccafold.cli._orders"),
-        Command("chats", "chats placed last", "yuccafold.cli._chats"),
-        Command("explain", "where a chat goes and why", "yuccafold.cli._explain"),
+        PageCommand("status", "whether and why a router refuses"),
+        PageCommand("targets", "targets, state and owner"),
+        PageCommand("peers", "VMs that a router knows"),
+        PageCommand("orders", "engines that a router orders"),
+        PageCommand("chats", "chats placed last"),
+        PageCommand("explain", "where a chat goes and why"),
         Command(
             "quarantine",
             "requests that killed targets",
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -42,9 +42,12 @@
 CONTROL_BYTES = 6_144
 SETTING_SECONDS = 10
 SERVICE_CALLS = 2_000
-ZONE_RESTART_SLOT_MESSAGES = 3
+SLOT_MESSAGES = 3
 """A request, its answer and its release."""
 
+BENCH_SECONDS = 120
+"""Virtual time of the bench's three phases at the target's size."""
+
 
 @dataclass(frozen=True)
 class Row:
@@ -93,19 +96,19 @@
 
     load_calls = 100 / 220 * 20 / 4
     claim_bytes = measured["control_claims_bytes_load_4"] / load_calls
-    slots = measured["control_380x830_bytes_per_s"] * _slot_scale(measured, requests)
-    membership = measured["fleet_membership_bytes_380_idle"]
+    slots = measured["control_steady_ours_380x830"] * _slot_scale(measured, requests)
+    membership = measured["fleet_membership_bytes_per_s_380_idle"]
     settings = measured["settings_bytes_per_second_380_vms_max"]
     quarantine = measured["control_quarantine_bytes_idle_64"]
     claims = keyed * claim_bytes
     sent = slots + membership + settings + quarantine + claims
 
-    messages = requests * ZONE_RESTART_SLOT_MESSAGES + keyed * (2 * SEATS + 2) + 4
+    messages = requests * SLOT_MESSAGES + keyed * (2 * SEATS + 2) + 4
     message_ms = measured["fleet_link_cpu_us_single"] / 2 / 1000
     core = 100 * 2 * messages * message_ms / 1000
     idle = measured["cpu_idle_64"]
 
-    links_mb = (NODES - 1) * measured["fleet_link_memory_kb"] / 1024
+    links_mb = (NODES - 1) * measured["fleet_link_kb_per_end"] / 1024
     claims_mb = claims_held * CLAIM_RECORD_BYTES / 1_048_576
     hints_mb = HINTS_HELD * HINT_RECORD_BYTES / 1_048_576
     stream_mb = (measured["rss_mb_1000_streams"] - measured["rss_mb_idle"]) / 1000
@@ -247,7 +250,8 @@
 
 def _slot_scale(measured: Measured, requests: float) -> float:
     """Return how much more a VM asks at the target than in the bench's model."""
-    return requests / measured["requests_per_s_per_router_380x830"]
+    modelled = measured["admissions_ours_380x830"] / BENCH_SECONDS / NODES
+    return requests / modelled
 
 
 def _slopes(measured: Measured) -> str:
--- a/tools/commands_reference.py
+++ b/tools/commands_reference.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import importlib
 import sys
 from pathlib import Path
 
@@ -27,7 +26,7 @@
     parts = [HEAD]
     for command in COMMANDS.values():
         values = flags.FlagValues()
-        importlib.import_module(command.module).define(values)
+        command.define(values)
         rows = [
             f"| `--{name}` | `{values[name].default}` | {values[name].help} |"
             for name in sorted(values)
