Wait for no telemetry endpoint that is down

Cause: with its endpoint down, a drained router spent 11 s in the exporters' shutdown, on the event loop. Change: they are closed by a thread for 3 s at most; the time to the first byte and the queue's length are recorded, which no metric did.

--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -213,6 +213,7 @@
         relay: AnswerRelay,
     ) -> None:
         early = None
+        started = self._clock.now()
         try:
             await attempt.send(headers, body)
         except EarlyAnswer as answer:
@@ -221,6 +222,9 @@
             head = await self._send_and_receive(attempt, body)
         else:
             head = await attempt.receive_head(early)
+        self._telemetry.metrics.first_byte.record(
+            self._clock.now() - started, {"service": call.service}
+        )
         if _says_not_run(call, head):
             raise attempt.not_run_as_told()
         await relay.pass_on(attempt, head, _answer_headers(call, placement, head))
--- a/src/yuccafold/router/_meters.py
+++ b/src/yuccafold/router/_meters.py
@@ -32,12 +32,14 @@
         self._clock = clock
         self._metrics = metrics
         self._sent: Counter[ByteClass] = Counter()
+        self._queued = 0
 
     async def run(self) -> None:
         """Record until cancelled."""
         while True:
             await trio.sleep(INTERVAL / MS_PER_SECOND)
             self._record_bytes()
+            self._record_queue()
             self._record_skew(self._clock.now())
 
     def _record_bytes(self) -> None:
@@ -47,6 +49,11 @@
             self._metrics.control_bytes.add(delta, {"class": byte_class.value})
         self._sent = sent
 
+    def _record_queue(self) -> None:
+        length = self._plane.places.queue_length
+        self._metrics.queued.add(length - self._queued)
+        self._queued = length
+
     def _record_skew(self, now: Milliseconds) -> None:
         """Record the fullest owned target against its service's mean."""
         tree = self._plane.tree
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -45,6 +45,7 @@
 from yuccafold.telemetry import open_telemetry
 
 READINESS_INTERVAL_SECONDS = 0.05
+TELEMETRY_SECONDS = 3.0
 FAREWELL_SECONDS = 0.1
 """How long the last messages to the peers have to go out."""
 
@@ -215,9 +216,14 @@
                 await callers.stop()
                 await operators.stop()
                 await self._pool.close()
-            self._telemetry.close()
+                await self._close_telemetry()
             self._stopped.set()
 
+    async def _close_telemetry(self) -> None:
+        """Export what is left, but wait for no endpoint that is down."""
+        with trio.move_on_after(TELEMETRY_SECONDS):
+            await trio.to_thread.run_sync(self._telemetry.close, abandon_on_cancel=True)
+
     async def _watch_readiness(self) -> None:
         """Serve once the settings are known to be the fleet's newest."""
         while True:
--- a/src/yuccafold/telemetry/_setup.py
+++ b/src/yuccafold/telemetry/_setup.py
@@ -49,10 +49,12 @@
     )
     local = InMemoryMetricReader()
     readers: list[MetricReader] = [local]
-    tracers = TracerProvider(resource=resource)
+    tracers = TracerProvider(resource=resource, shutdown_on_exit=False)
     if settings.telemetry.otlp_endpoint is not None:
         readers.append(_export(settings, tracers))
-    meters = MeterProvider(metric_readers=readers, resource=resource)
+    meters = MeterProvider(
+        metric_readers=readers, resource=resource, shutdown_on_exit=False
+    )
     return Telemetry(
         metrics=Metrics(meters.get_meter(SCOPE)),
         tracer=tracers.get_tracer(SCOPE),
--- a/testing/router/test_router.py
+++ b/testing/router/test_router.py
@@ -9,6 +9,7 @@
 from router.fakes import echo
 from router.fakes import fleet
 from router.fakes import stream_events
+from yuccafold.settings import TelemetrySettings
 
 CHAT = json.dumps(
     {"model": "m", "messages": [{"role": "user", "content": "hi"}], "stream": True}
@@ -256,3 +257,19 @@
             await closed.wait()
 
     run(test)
+
+
+def test_endpoint_that_is_down_neither_slows_calls_nor_stops_a_drain():
+    async def test():
+        nowhere = TelemetrySettings(
+            otlp_endpoint="http://127.0.0.1:9", export_interval_ms=50
+        )
+        async with fleet(echo, telemetry=nowhere) as (router, addresses, _targets):
+            for _ in range(3):
+                async with caller(addresses.callers) as client:
+                    status, _, _, _ = await client.call("GET", "/desk/1")
+                    assert status == 200
+            router.drain()
+            await router.stopped.wait()
+
+    run(test)
