Tell a caller whose time is up what is known, keyed calls too

Cause: a keyed call whose deadline passed got a closed connection and no answer, since its shielded run ended silently; an unkeyed one that still waited for a slot was told that it may have run. Change: the deadline is held where the attempts are, and the refusal carries their verdict. Measured: the two tests failed before (status 0, 'may-have-run' of an unsent call) and pass.

--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -220,24 +220,20 @@
     async def _forward(
         self, call: Call, body: RequestBody, responder: Responder
     ) -> None:
-        """Forward under the call's deadline and while the caller stays."""
+        """Forward while the caller stays."""
         metrics = self._telemetry.metrics
         labels = {"service": call.service}
         metrics.in_flight.add(1, labels)
-        remaining = (call.deadline - self._clock.now()) / MS_PER_SECOND
         try:
             async with trio.open_nursery() as nursery:
                 if body.held is not None:
                     nursery.start_soon(self._watch_caller, nursery.cancel_scope)
-                with trio.move_on_after(remaining) as scope:
-                    await self._traced(call, body, responder)
+                await self._traced(call, body, responder)
                 nursery.cancel_scope.cancel()
         except BaseExceptionGroup as group:
             raise _only(group) from None
         finally:
             metrics.in_flight.add(-1, labels)
-        if scope.cancelled_caught:
-            await self._out_of_time(call, responder)
         if not responder.whole and not responder.broken:
             raise CallerGone
 
@@ -255,13 +251,6 @@
                 responder.add_header(b"traceparent", present.encode())
             await self._forwarder.forward(call, body, responder)
 
-    async def _out_of_time(self, call: Call, responder: Responder) -> None:
-        reason = "expected an answer before the call's deadline"
-        refusal = Refusal(504, "deadline", reason, Verdict.MAY_HAVE_RUN)
-        if responder.started:
-            await responder.break_off(refusal)
-        raise CallRefused(refusal)
-
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel ``scope`` when the caller closes its connection."""
         while len(self._http.http.trailing_data[0]) < WATCH_BYTES:
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -86,31 +86,39 @@
         self, call: Call, body: RequestBody, responder: Responder
     ) -> None:
         """Answer ``call``; a refusal is raised as ``CallRefused``."""
-        if call.key is None:
-            await self._attempts(call, body, AnswerRelay(call, responder))
-            return
+        if call.key is None or not await self._is_answered_before(call, responder):
+            await self._run(call, body, AnswerRelay(call, responder))
+
+    async def _is_answered_before(self, call: Call, responder: Responder) -> bool:
+        """Claim the call's key; send the answer of its earlier run if there is one."""
         claimed = await self._once.claim(call)
         if isinstance(claimed, Err):
             raise CallRefused(claimed.err_value)
-        if claimed.ok_value is not None:
-            await _replay(claimed.ok_value, responder)
-            return
-        # The answer is kept for repeats even when this caller is gone.
-        remaining = max(0, call.deadline - self._clock.now()) / MS_PER_SECOND
-        with trio.move_on_after(remaining, shield=True):
-            await self._run_claimed(call, body, responder)
+        if claimed.ok_value is None:
+            return False
+        await _replay(claimed.ok_value, responder)
+        return True
 
-    async def _run_claimed(
-        self, call: Call, body: RequestBody, responder: Responder
-    ) -> None:
-        """Run a claimed call and tell the fleet how it ended, whatever happens."""
-        relay = AnswerRelay(call, responder)
+    async def _run(self, call: Call, body: RequestBody, relay: AnswerRelay) -> None:
+        """Run the call under its deadline.
+
+        The answer to a key is kept for repeats even when its caller is gone.
+        """
+        remaining = max(0, call.deadline - self._clock.now()) / MS_PER_SECOND
+        is_keyed = call.key is not None
         try:
-            await self._attempts(call, body, relay)
+            with trio.move_on_after(remaining, shield=is_keyed) as scope:
+                await self._attempts(call, body, relay)
         finally:
-            if relay.verdict is Verdict.NOT_RUN:
-                self._once.not_sent(call)
-            self._once.finish(call, relay.verdict, relay.stored)
+            if is_keyed:
+                self._end_claim(call, relay)
+        if scope.cancelled_caught:
+            await self._give_up(call, _out_of_time(relay.verdict), relay)
+
+    def _end_claim(self, call: Call, relay: AnswerRelay) -> None:
+        if relay.verdict is Verdict.NOT_RUN:
+            self._once.not_sent(call)
+        self._once.finish(call, relay.verdict, relay.stored)
 
     async def _attempts(
         self, call: Call, body: RequestBody, relay: AnswerRelay
@@ -322,6 +330,13 @@
     return Refusal(502, "target_failed", str(failed), failed.verdict, retry_after_ms)
 
 
+def _out_of_time(verdict: Verdict) -> Refusal:
+    """Return what the caller is told of a call whose deadline passed."""
+    reason = "expected an answer before the call's deadline"
+    retry_after_ms = 1_000 if verdict is Verdict.NOT_RUN else 0
+    return Refusal(504, "deadline", reason, verdict, retry_after_ms)
+
+
 def _says_not_run(call: Call, head: h11.Response) -> bool:
     """Return whether a trusted target says that it did not run the call."""
     if not call.settings.traits.trusted_not_run:
--- a/testing/router/test_faults.py
+++ b/testing/router/test_faults.py
@@ -421,14 +421,25 @@
 @on_trio
 async def test_keyed_call_that_runs_out_of_time_unsent_frees_its_key():
     async with fleet(attempts=1) as running:
-        running.plain.server.set_faults(Faults(silent=True))
+        running.plain.server.set_faults(Faults(silent_at_response_byte=0))
         key = ("Idempotency-Key", "k")
         late = await running.call("POST", key, ("Yuccafold-Timeout-Ms", "20"))
-        assert late.status != 200
+        assert (late.status, late.verdict) == (504, "not-run")
         running.plain.server.set_faults(NO_FAULTS)
         again = await running.call("POST", key)
-        assert again.status in (200, 409)
-        assert running.runs <= 1
+        assert again.status == 200
+        assert running.runs == 1
+
+
+@pytest.mark.parametrize("headers", [(), (("Idempotency-Key", "k"),)], ids=["", "key"])
+@on_trio
+async def test_call_whose_deadline_passes_after_it_was_sent_may_have_run(headers):
+    async with fleet(attempts=1, expect=False) as running:
+        running.plain.server.set_faults(Faults(silent_at_response_byte=0))
+        timeout = ("Yuccafold-Timeout-Ms", "50")
+        late = await running.call("POST", timeout, *headers)
+        assert (late.status, late.verdict) == (504, "may-have-run")
+        assert running.runs == 1
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
