Decide a call under one revision

Cause: the header, the policy and the call read the revision at three moments; a revision that came into force while a body was read made them differ. Change: the tree is taken once. Conclusion: every answer names the revision that it was decided under.

--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -39,6 +39,7 @@
 from yuccafold.router._state import RouterState
 from yuccafold.settings import Policy
 from yuccafold.settings import ServiceKind
+from yuccafold.settings import SettingsTree
 from yuccafold.telemetry import Telemetry
 from yuccafold.telemetry import log_event
 
@@ -124,9 +125,12 @@
 
     async def _serve(self, request: h11.Request) -> bool:
         call_id = self._ids.next()
+        # One revision for the whole call, whatever comes into force meanwhile.
+        tree = self._state.tree
+        revision = 0 if tree is None else tree.revision
         base = (
             (CALL_ID_HEADER, call_id.encode()),
-            (REVISION_HEADER, str(self._state.revision).encode()),
+            (REVISION_HEADER, str(revision).encode()),
         )
         closing = not self._state.ready
         responder = Responder(self._http, base, close=closing)
@@ -134,7 +138,7 @@
         idempotent = True
         service = "none"
         try:
-            resolved = self._resolve(request)
+            resolved = self._resolve(request, tree)
             service = resolved.service
             body = RequestBody(self._http, resolved.policy.body_limit_bytes)
             call = await self._read_call(request, call_id, resolved, body)
@@ -156,10 +160,9 @@
         http = self._http.http
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
-    def _resolve(self, request: h11.Request) -> Resolved:
+    def _resolve(self, request: h11.Request, tree: SettingsTree | None) -> Resolved:
         """Check the head and return what the settings say about it."""
         refusal = _check_head(request)
-        tree = self._state.tree
         if refusal is None and (tree is None or not self._state.serving):
             reason = f"this VM is {self._state.phase.value}"
             refusal = Refusal(503, "not_serving", reason, Verdict.NOT_RUN, 1_000)
@@ -196,7 +199,7 @@
             service=resolved.service,
             settings=settings,
             policy=resolved.policy,
-            revision=self._state.revision,
+            revision=resolved.revision,
             method=method,
             path=path,
             headers=headers,
--- a/src/yuccafold/router/_resolve.py
+++ b/src/yuccafold/router/_resolve.py
@@ -32,6 +32,7 @@
     service: ServiceId
     settings: Service
     policy: Policy
+    revision: int
 
 
 def resolve(
@@ -51,7 +52,8 @@
         reason = f"client account {account!r} may not call service {service!r}"
         return Err(bad_request(reason, 403, "forbidden"))
     policy = tree.policy_for(service, account)
-    return Ok(Resolved(account, service, tree.services[service], policy))
+    settings = tree.services[service]
+    return Ok(Resolved(account, service, settings, policy, tree.revision))
 
 
 def _account(tree: SettingsTree, headers: Headers) -> AccountId | None:
