End calls with a key when the process is told to end

Cause: a call with a key is shielded from its caller's departure, and was so from the router's own end too: under overload the demo went on past its limit, and a second SIGTERM would have waited for the call's deadline. Ruled out: the demo's own limit, which cancelled as it should. Change: when the router's tasks are cancelled, the running calls' scopes are cancelled with them. A script for restarts of real processes is kept.

--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -80,6 +80,7 @@
         self._guard = guard
         self._telemetry = telemetry
         self._recent = recent
+        self._running: set[trio.CancelScope] = set()
         self._budget = RetryBudget()
 
     async def forward(
@@ -106,15 +107,26 @@
         """
         remaining = max(0, call.deadline - self._clock.now()) / MS_PER_SECOND
         is_keyed = call.key is not None
+        scope = trio.CancelScope(relative_deadline=remaining, shield=is_keyed)
+        self._running.add(scope)
         try:
-            with trio.move_on_after(remaining, shield=is_keyed) as scope:
+            with scope:
                 await self._attempts(call, body, relay)
         finally:
+            self._running.discard(scope)
             if is_keyed:
                 self._end_claim(call, relay)
         if scope.cancelled_caught:
             await self._give_up(call, _out_of_time(relay.verdict), relay)
 
+    async def abort_when_cancelled(self) -> None:
+        """Wait until cancelled, then end the calls that only their end would end."""
+        try:
+            await trio.sleep_forever()
+        finally:
+            for scope in self._running:
+                scope.cancel()
+
     def _end_claim(self, call: Call, relay: AnswerRelay) -> None:
         if relay.verdict is Verdict.NOT_RUN:
             self._once.not_sent(call)
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -199,6 +199,7 @@
             *self._orders.children(),
             ChildSpec("readiness", self._watch_readiness),
             ChildSpec("meters", meters.run),
+            ChildSpec("abort", self._forwarder.abort_when_cancelled),
             ChildSpec("callers", partial(callers.run, self._serve_caller)),
             ChildSpec("operators", partial(operators.run, port.serve_connection)),
         ]
--- a/testing/router/test_router.py
+++ b/testing/router/test_router.py
@@ -273,3 +273,36 @@
             await router.stopped.wait()
 
     run(test)
+
+
+def test_kill_ends_a_call_with_a_key_at_once():
+    arrived = trio.Event()
+
+    async def ask_then_stay_silent(target, stream):
+        await stream.receive_some(65536)
+        await stream.send_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+        arrived.set()
+        while await stream.receive_some(65536):
+            pass
+
+    def patient(text):
+        return text.replace(
+            "first_byte_timeout_ms: 500", "first_byte_timeout_ms: 60000"
+        )
+
+    async def test():
+        async with fleet(ask_then_stay_silent, edit=patient) as (router, addresses, _):
+            async with trio.open_nursery() as nursery:
+
+                async def call():
+                    async with caller(addresses.callers) as client:
+                        key = [("Idempotency-Key", "k")]
+                        await client.call("POST", "/desk/book", b"x", key)
+
+                nursery.start_soon(call)
+                await arrived.wait()
+                router.kill()
+                await router.stopped.wait()
+                nursery.cancel_scope.cancel()
+
+    run(test)
--- a/tools/fleet_processes.py
+++ b/tools/fleet_processes.py
@@ -5,8 +5,9 @@
 idle and under load, and how long a setting takes to be in force everywhere.
 The faults of ``--faults`` are shown at its size: a process is killed, one is
 stopped for a while and continued, and the links to two VMs go silent, while
-calls with idempotency keys go through all VMs. It exits with 1 when a call was
-lost, cut or doubled.
+calls with idempotency keys go through all VMs; ``--restarts`` kills and restarts
+more than half of its processes one after the other. It exits with 1 when a call
+was lost, cut or doubled.
 """
 
 from __future__ import annotations
@@ -411,6 +412,24 @@
         return _judge(made, report)
 
 
+async def show_restarts(size: int) -> bool:
+    """Kill and restart processes one after the other under load; judge the calls."""
+    async with fleet(size) as made:
+        report = LoadReport()
+        async with trio.open_nursery() as nursery:
+            settings = load_of(made, chats=30, calls=150, rate=4)
+            nursery.start_soon(run_load, settings, report)
+            await trio.sleep(2)
+            for node in made.nodes[: size // 2 + 1]:
+                started = trio.current_time()
+                _end(node)
+                start(made, node)
+                await wait_ready(made)
+                seconds = trio.current_time() - started
+                print(Figure(f"restart_{node.vm}_of_{size}", seconds, "s"), flush=True)
+        return _judge(made, report)
+
+
 def _judge(made: Fleet, report: LoadReport) -> bool:
     runs: Counter[str] = Counter()
     for plain in made.plains:
@@ -433,13 +452,15 @@
     parser.add_argument("--sizes", type=int, nargs="*", default=[4, 8, 16, 32])
     parser.add_argument("--one-reader", type=int, default=16)
     parser.add_argument("--faults", type=int, default=16)
+    parser.add_argument("--restarts", type=int, default=5)
     arguments = parser.parse_args()
     for size in arguments.sizes:
         trio.run(measure_size, size)
     if arguments.one_reader:
         trio.run(measure_one_reader, arguments.one_reader)
     sound = not arguments.faults or trio.run(show_faults, arguments.faults)
-    return int(not sound)
+    restarted = not arguments.restarts or trio.run(show_restarts, arguments.restarts)
+    return int(not (sound and restarted))
 
 
 if __name__ == "__main__":
