--- a/src/yuccafold/router/_supervisor.py
+++ b/src/yuccafold/_supervisor.py
@@ -14,7 +14,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
-from yuccafold.telemetry import log_event
+from yuccafold._log import log_event
 
 FIRST_BACKOFF = Milliseconds(50)
 LONGEST_BACKOFF = Milliseconds(5_000)
--- a/src/yuccafold/bench/_router_process.py
+++ b/src/yuccafold/bench/_router_process.py
@@ -20,9 +20,9 @@
 from result import Ok
 
 from yuccafold._clock import NS_PER_MS
-from yuccafold.platform import HttpLimits
-from yuccafold.platform import HttpRequest
-from yuccafold.platform import call
+from yuccafold.readers import HttpLimits
+from yuccafold.readers import HttpRequest
+from yuccafold.readers import call
 
 START_SECONDS = 30.0
 STOP_SECONDS = 10.0
--- a/src/yuccafold/bench/_settings.py
+++ b/src/yuccafold/bench/_settings.py
@@ -27,10 +27,10 @@
 from yuccafold.bench._settings_world import SettingsWorld
 from yuccafold.bench._virtual_network import VirtualNetwork
 from yuccafold.fleet import encode
-from yuccafold.platform import Answer
-from yuccafold.platform import CallPacer
-from yuccafold.platform import WatchOptions
-from yuccafold.platform import chosen_watchers
+from yuccafold.readers import Answer
+from yuccafold.readers import CallPacer
+from yuccafold.readers import WatchOptions
+from yuccafold.readers import chosen_watchers
 from yuccafold.replica import Readiness
 from yuccafold.replica import read_revision
 from yuccafold.replica import register_messages
--- a/src/yuccafold/cli/_operator.py
+++ b/src/yuccafold/cli/_operator.py
@@ -17,9 +17,9 @@
 
 from yuccafold.cli._command import ExitCode
 from yuccafold.cli._table import table
-from yuccafold.platform import HttpLimits
-from yuccafold.platform import HttpRequest
-from yuccafold.platform import call
+from yuccafold.readers import HttpLimits
+from yuccafold.readers import HttpRequest
+from yuccafold.readers import call
 
 DEFAULT_ADDRESS = "127.0.0.1:8081"
 STATUS_OK = 200
--- a/src/yuccafold/cli/_quarantine.py
+++ b/src/yuccafold/cli/_quarantine.py
@@ -15,7 +15,7 @@
 from yuccafold.cli._operator import render_pairs
 from yuccafold.cli._operator import render_rows
 from yuccafold.cli._operator import show
-from yuccafold.platform import HttpRequest
+from yuccafold.readers import HttpRequest
 
 PAGE = Page("/quarantine", render_rows)
 LIFT_WORDS = 2
--- a/src/yuccafold/cli/_router.py
+++ b/src/yuccafold/cli/_router.py
@@ -1,28 +1,17 @@
-"""``yuccafold router``: the daemon."""
+"""``yuccafold router``: the daemon, of a fleet or alone at the edge of a platform."""
 
 from __future__ import annotations
 
-import signal
+import os
 import sys
 from collections.abc import Sequence
-from pathlib import Path
 
-import trio
 from absl import flags
-from result import Err
-from result import Ok
-from result import Result
 
 from yuccafold.cli._command import ExitCode
-from yuccafold.fleet import NetworkError
-from yuccafold.router import Router
-from yuccafold.router import TooManyFailuresError
-from yuccafold.settings import ProcessSettings
-from yuccafold.settings import SettingsFault
-from yuccafold.settings import parse
-from yuccafold.settings import parse_tree
-from yuccafold.telemetry import log_event
-from yuccafold.telemetry import log_to_stderr
+
+PLATFORM_SETTINGS = "YUCCAFOLD_SETTINGS"
+"""Variable with the path of settings that a platform wrote."""
 
 
 def define(values: flags.FlagValues) -> None:
@@ -30,81 +19,34 @@
     flags.DEFINE_string(
         "settings", None, "YAML file of this process's settings.", flag_values=values
     )
+    flags.DEFINE_integer(
+        "metrics_port",
+        0,
+        "Port of the metrics page of a router on a platform; 0 for none.",
+        lower_bound=0,
+        upper_bound=65_535,
+        flag_values=values,
+    )
 
 
 def run(values: flags.FlagValues, arguments: Sequence[str]) -> int:
-    """Run the daemon until it is told to stop."""
+    """Run the daemon until it is told to stop.
+
+    Each form is imported only when it runs: a process at the edge of a
+    platform loads nothing of the fleet's agreement.
+    """
     path = values["settings"].value
-    if path is None or arguments:
-        print("expected: yuccafold router --settings=FILE", file=sys.stderr)
-        return ExitCode.BAD_INPUT
-    read = _read(path)
-    if isinstance(read, Err):
-        for fault in read.err_value:
-            print(f"{path}: {fault}", file=sys.stderr)
+    platform_path = os.environ.get(PLATFORM_SETTINGS)
+    if arguments or (path is None and not platform_path):
+        print(
+            f"expected: yuccafold router --settings=FILE, or {PLATFORM_SETTINGS}",
+            file=sys.stderr,
+        )
         return ExitCode.BAD_INPUT
-    settings = read.ok_value
-    faults = _tree_faults(settings.platform.settings_file)
-    for fault in faults:
-        print(f"{settings.platform.settings_file}: {fault}", file=sys.stderr)
-    if faults:
-        return ExitCode.BAD_INPUT
-    log_to_stderr()
-    failed = ExitCode.OK
-    try:
-        trio.run(_serve, settings)
-    except* (OSError, NetworkError, TooManyFailuresError) as group:
-        print(f"{path}: cannot serve: {_first(group)}", file=sys.stderr)
-        failed = ExitCode.FAILED
-    return failed
-
-
-def _tree_faults(path: str | None) -> list[SettingsFault]:
-    """Return the faults of the settings tree that the process begins with."""
-    if path is None:
-        return []
-    text = _text(path)
-    checked = text if isinstance(text, Err) else parse_tree(text.ok_value)
-    return checked.err_value if isinstance(checked, Err) else []
-
-
-def _first(group: BaseExceptionGroup[BaseException]) -> BaseException:
-    found: BaseException = group
-    while isinstance(found, BaseExceptionGroup):
-        found = found.exceptions[0]
-    return found
-
-
-def _read(path: str) -> Result[ProcessSettings, list[SettingsFault]]:
-    text = _text(path)
-    return text if isinstance(text, Err) else parse(text.ok_value, ProcessSettings)
-
-
-def _text(path: str) -> Result[str, list[SettingsFault]]:
-    try:
-        return Ok(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        return Err([SettingsFault("", 1, f"cannot be read: {error}")])
-
-
-async def _serve(settings: ProcessSettings) -> None:
-    router = Router(settings)
-    async with trio.open_nursery() as nursery:
-        addresses = await nursery.start(router.serve)
-        log_event("serving", callers=addresses.callers, operators=addresses.operators)
-        nursery.start_soon(_watch_signals, router, nursery.cancel_scope)
-        await router.stopped.wait()
-        nursery.cancel_scope.cancel()
+    if path is not None:
+        from yuccafold.cli import _fleet_router
 
+        return _fleet_router.run(path)
+    from yuccafold.cli import _edge_router
 
-async def _watch_signals(router: Router, scope: trio.CancelScope) -> None:
-    """Drain on the first signal, end at once on the second."""
-    drained = False
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            if drained:
-                router.kill()
-                scope.cancel()
-                return
-            drained = True
-            router.drain()
+    return _edge_router.run(str(platform_path), values["metrics_port"].value)
--- a/src/yuccafold/control/_plane.py
+++ b/src/yuccafold/control/_plane.py
@@ -22,6 +22,7 @@
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold._ids import ZoneId
+from yuccafold._log import log_event
 from yuccafold._outgoing import Outgoing
 from yuccafold.admission import AccountLimits
 from yuccafold.admission import LimitSettings
@@ -66,7 +67,6 @@
 from yuccafold.replica import SettingsReplica
 from yuccafold.settings import ProcessSettings
 from yuccafold.settings import SettingsTree
-from yuccafold.telemetry import log_event
 
 admission.register_messages()
 delivery.register_messages()
--- a/src/yuccafold/delivery/__init__.py
+++ b/src/yuccafold/delivery/__init__.py
@@ -35,7 +35,6 @@
 from yuccafold.delivery._retry import GiveUp
 from yuccafold.delivery._retry import GiveUpReason
 from yuccafold.delivery._retry import RetryAfter
-from yuccafold.delivery._retry import RetryBudget
 from yuccafold.delivery._retry import RetryDecision
 from yuccafold.delivery._retry import backoff
 from yuccafold.delivery._retry import decide_retry
--- /dev/null
+++ b/src/yuccafold/edge/__init__.py
@@ -0,0 +1,65 @@
+"""The router for platforms that publish routes and targets: each VM decides alone.
+
+It loads nothing of the fleet's claims, slots and links, so that its process
+stays small; see ``docs/design/on-the-platform.md``.
+"""
+
+from __future__ import annotations
+
+from yuccafold.edge._model import Account
+from yuccafold.edge._model import AnswerFacts
+from yuccafold.edge._model import CallerLimits
+from yuccafold.edge._model import CallHead
+from yuccafold.edge._model import Catalogue
+from yuccafold.edge._model import Forwarding
+from yuccafold.edge._model import PartId
+from yuccafold.edge._model import PromptPart
+from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import Route
+from yuccafold.edge._model import RouteName
+from yuccafold.edge._model import ServiceSpec
+from yuccafold.edge._model import TargetLoad
+from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._model import TargetState
+from yuccafold.edge._model import index_routes
+from yuccafold.edge._platform_source import CallTranslator
+from yuccafold.edge._platform_source import HistoryLostError
+from yuccafold.edge._platform_source import PlatformChanges
+from yuccafold.edge._platform_source import PlatformFact
+from yuccafold.edge._platform_source import PlatformSource
+from yuccafold.edge._platform_source import PlatformState
+from yuccafold.edge._platform_source import PlatformUnavailableError
+from yuccafold.edge._platform_source import TargetGone
+from yuccafold.edge._router import EdgeRouter
+from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._settings import SocketAddress
+
+__all__ = [
+    "Account",
+    "AnswerFacts",
+    "CallHead",
+    "CallTranslator",
+    "CallerLimits",
+    "Catalogue",
+    "EdgeRouter",
+    "EdgeSettings",
+    "Forwarding",
+    "HistoryLostError",
+    "PartId",
+    "PlatformChanges",
+    "PlatformFact",
+    "PlatformSource",
+    "PlatformState",
+    "PlatformUnavailableError",
+    "PromptPart",
+    "Repeatability",
+    "Route",
+    "RouteName",
+    "ServiceSpec",
+    "SocketAddress",
+    "TargetGone",
+    "TargetLoad",
+    "TargetRecord",
+    "TargetState",
+    "index_routes",
+]
--- /dev/null
+++ b/src/yuccafold/edge/_caller.py
@@ -0,0 +1,294 @@
+"""One caller's connection: reads calls, answers each before the next."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Protocol
+from typing import final
+
+import h11
+import trio
+from result import Err
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import ServiceId
+from yuccafold._log import log_event
+from yuccafold._verdict import Refusal
+from yuccafold._verdict import Verdict
+from yuccafold.edge._call import Call
+from yuccafold.edge._forward import EdgeForwarder
+from yuccafold.edge._gate import Gate
+from yuccafold.edge._metrics import EdgeMetrics
+from yuccafold.edge._model import CallerLimits
+from yuccafold.edge._platform_source import CallTranslator
+from yuccafold.edge._responder import EdgeResponder
+from yuccafold.http import CallerGone
+from yuccafold.http import Headers
+from yuccafold.http import HttpStream
+from yuccafold.http import first_value
+from yuccafold.http import head_fault
+
+MAX_HEAD_BYTES = 131_072
+"""Bytes of a head before the parser gives up; the operator's limit is below."""
+
+PIPELINED_BYTES = 65_536
+"""Bytes of later calls that are read while one is answered."""
+
+PATH_END = b"?"
+
+
+class CallerState(Protocol):
+    """What a connection asks of the process it belongs to."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether the process is about to stop."""
+        ...
+
+    @property
+    def limits(self) -> CallerLimits:
+        """What callers may send."""
+        ...
+
+
+@final
+class EdgeCaller:
+    """Serves the calls of one connection, one after the other."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        state: CallerState,
+        gate: Gate,
+        forwarder: EdgeForwarder,
+        translator: CallTranslator,
+        clock: Clock,
+        rng: random.Random,
+        metrics: EdgeMetrics,
+    ) -> None:
+        self._http = HttpStream(stream, h11.SERVER, MAX_HEAD_BYTES)
+        self._state = state
+        self._gate = gate
+        self._forwarder = forwarder
+        self._translator = translator
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._idle_scope = trio.CancelScope()
+        self._idle = True
+
+    async def run(self) -> None:
+        """Serve until the caller leaves or the connection can't be used again."""
+        try:
+            while await self._serve_one():
+                self._http.http.start_next_cycle()
+        except (CallerGone, OSError, trio.BrokenResourceError):
+            return
+        finally:
+            await self._http.close()
+
+    def close_if_idle(self) -> None:
+        """End the connection unless a call is being read or answered."""
+        if self._idle:
+            self._idle_scope.cancel()
+
+    async def _serve_one(self) -> bool:
+        """Serve one call; return whether another may follow."""
+        try:
+            request = await self._read_head()
+            if request is None:
+                return False
+            return await self._serve(request)
+        except h11.RemoteProtocolError as error:
+            await self._refuse_malformed(error)
+            return False
+
+    async def _read_head(self) -> h11.Request | None:
+        """Return the next request, ``None`` if the caller leaves or is too slow."""
+        limits = self._state.limits
+        self._idle = not self._http.http.trailing_data[0]
+        self._idle_scope = trio.CancelScope(
+            relative_deadline=limits.idle_timeout / MS_PER_SECOND
+        )
+        event = self._http.http.next_event()
+        with self._idle_scope:
+            while event is h11.NEED_DATA:
+                if not await self._http.receive():
+                    return None
+                if self._idle:
+                    # The head has begun: from here its own timeout counts.
+                    self._idle = False
+                    self._idle_scope.relative_deadline = (
+                        limits.head_timeout / MS_PER_SECOND
+                    )
+                event = self._http.http.next_event()
+        self._idle = False
+        return event if isinstance(event, h11.Request) else None
+
+    async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        if self._http.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        status = error.error_status_hint
+        log_event("request_malformed", status=status, error=str(error))
+        refusal = Refusal(status, "malformed", str(error), Verdict.NOT_RUN)
+        await EdgeResponder(self._http, closing=True).refuse(refusal)
+
+    async def _serve(self, request: h11.Request) -> bool:
+        """Read the body, decide, forward; return whether another call may follow."""
+        responder = EdgeResponder(self._http, self._state.draining)
+        headers: Headers = tuple(request.headers)
+        refusal = self._check_head(request, headers)
+        if refusal is not None:
+            return await self._refuse(None, refusal, responder)
+        body = await self._read_body()
+        if body is None:
+            limit = self._state.limits.max_body
+            refusal = Refusal(
+                413,
+                "body_too_large",
+                f"expected at most {limit} bytes",
+                Verdict.NOT_RUN,
+            )
+            return await self._refuse(None, refusal, responder)
+        arrived = self._clock.now()
+        try:
+            call = self._admit(request, headers, body, arrived)
+        except ValueError as error:
+            call = Refusal(400, "bad_request", str(error), Verdict.NOT_RUN)
+        if isinstance(call, Refusal):
+            return await self._refuse(headers, call, responder)
+        await self._answer(call, responder)
+        return responder.whole and self._can_go_on()
+
+    def _check_head(self, request: h11.Request, headers: Headers) -> Refusal | None:
+        fault = head_fault(request)
+        if fault is not None:
+            return Refusal(fault.status, "bad_request", fault.reason, Verdict.NOT_RUN)
+        limit = self._state.limits.max_head
+        size = sum(len(name) + len(value) + 4 for name, value in headers)
+        if size + len(request.target) > limit:
+            reason = f"expected a head of at most {limit} bytes"
+            return Refusal(431, "head_too_large", reason, Verdict.NOT_RUN)
+        return None
+
+    async def _read_body(self) -> bytes | None:
+        """Return the whole body, ``None`` if it is too large."""
+        if self._http.http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._http.send(go_on)
+        body = bytearray()
+        while True:
+            event = await self._http.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise CallerGone
+            body += event.data
+            if len(body) > self._state.limits.max_body:
+                return None
+
+    def _admit(
+        self,
+        request: h11.Request,
+        headers: Headers,
+        body: bytes,
+        arrived: Milliseconds,
+    ) -> Call | Refusal:
+        """Return the call as the settings in force take it, or its refusal."""
+        head = self._translator.read_call(headers)
+        host = (first_value(headers, b"host") or "").partition(":")[0].lower()
+        path = request.target.partition(PATH_END)[0].decode("latin-1")
+        admitted = self._gate.admit(host, path, head.api_key, arrived)
+        if isinstance(admitted, Err):
+            return admitted.err_value
+        route = admitted.ok_value.route
+        waits = min(head.deadline or route.timeout, route.timeout)
+        return Call(
+            head=head,
+            admitted=admitted.ok_value,
+            service=self._service_of(route.services),
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=body,
+            arrived=arrived,
+            deadline=Milliseconds(arrived + waits),
+        )
+
+    def _service_of(self, services: Sequence[tuple[ServiceId, float]]) -> ServiceId:
+        """Return the service of a call; several share the calls by their weights."""
+        if len(services) == 1:
+            return services[0][0]
+        names, weights = zip(*services, strict=True)
+        return self._rng.choices(names, weights)[0]
+
+    async def _answer(self, call: Call, responder: EdgeResponder) -> None:
+        """Forward while the caller stays."""
+        refusal: Refusal | None = None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+                refusal = await self._forwarder.forward(call, responder)
+                nursery.cancel_scope.cancel()
+        except* CallerGone:
+            pass
+        self._log_end(call, responder, refusal)
+        if not responder.whole:
+            raise CallerGone
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel ``scope`` when the caller closes its connection."""
+        while len(self._http.http.trailing_data[0]) < PIPELINED_BYTES:
+            try:
+                alive = await self._http.receive()
+            except (OSError, trio.BrokenResourceError):
+                alive = False
+            if not alive:
+                scope.cancel()
+                return
+
+    async def _refuse(
+        self, headers: Headers | None, refusal: Refusal, responder: EdgeResponder
+    ) -> bool:
+        call_id = None
+        if headers is not None:
+            try:
+                call_id = self._translator.read_call(headers).id
+            except ValueError as error:
+                log_event("request_unreadable", error=str(error))
+        log_event(
+            "call_refused",
+            call=call_id,
+            status=refusal.status,
+            code=refusal.code,
+            reason=refusal.reason,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        self._metrics.count("refusals", code=refusal.code)
+        await responder.refuse(refusal)
+        return self._can_go_on()
+
+    def _can_go_on(self) -> bool:
+        http = self._http.http
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    def _log_end(
+        self, call: Call, responder: EdgeResponder, refusal: Refusal | None
+    ) -> None:
+        took = self._clock.now() - call.arrived
+        outcome = "answered" if responder.whole else "caller_left"
+        if refusal is not None:
+            outcome = refusal.code if responder.whole else f"broken_off_{refusal.code}"
+        self._metrics.time("call_ms", took, call.service)
+        self._metrics.count("calls", service=call.service, outcome=outcome)
+        log_event(
+            "call_ended",
+            call=call.head.id,
+            outcome=outcome,
+            status=responder.status,
+            took_ms=took,
+            reason=None if refusal is None else refusal.reason,
+        )
--- /dev/null
+++ b/src/yuccafold/edge/_forward.py
@@ -0,0 +1,252 @@
+"""Carries one call to its targets: placement, attempts, answer."""
+
+from __future__ import annotations
+
+import random
+from typing import final
+
+import trio
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import TargetId
+from yuccafold._log import log_event
+from yuccafold._retry_budget import RetryBudget
+from yuccafold._verdict import Refusal
+from yuccafold._verdict import Verdict
+from yuccafold.edge._attempts import CallProgress
+from yuccafold.edge._attempts import Failure
+from yuccafold.edge._attempts import may_try_again
+from yuccafold.edge._attempts import no_target
+from yuccafold.edge._attempts import out_of_time
+from yuccafold.edge._attempts import refusal_of
+from yuccafold.edge._call import Call
+from yuccafold.edge._call import RunRecord
+from yuccafold.edge._exchange import AttemptFailedError
+from yuccafold.edge._exchange import Exchange
+from yuccafold.edge._health import Outcome
+from yuccafold.edge._metrics import EdgeMetrics
+from yuccafold.edge._model import Forwarding
+from yuccafold.edge._placement import Placement
+from yuccafold.edge._platform_source import CallTranslator
+from yuccafold.edge._relay import FIRST_SERVER_ERROR
+from yuccafold.edge._relay import AnswerRelay
+from yuccafold.edge._responder import EdgeResponder
+from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._targets import Targets
+from yuccafold.http import ConnectionPool
+
+MAX_CONNECTS = 4
+"""Targets that a call may fail to reach before it is refused."""
+
+VMS_AT_ONCE = 16
+"""VMs that may spend their part of the retry slack at the same time."""
+
+
+@final
+class EdgeForwarder:
+    """Carries calls to targets; decisions are made by this VM alone."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        settings: EdgeSettings,
+        targets: Targets,
+        pool: ConnectionPool,
+        translator: CallTranslator,
+        metrics: EdgeMetrics,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._targets = targets
+        self._pool = pool
+        self._translator = translator
+        self._metrics = metrics
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def forward(self, call: Call, responder: EdgeResponder) -> Refusal | None:
+        """Answer ``call``; return why it was refused or broken off, if it was."""
+        relay = AnswerRelay(call, responder)
+        record = RunRecord()
+        self._budget(call).note_request(self._settings.retry_ratio)
+        refusal: Refusal | None = None
+        time_left = (call.deadline - self._clock.now()) / MS_PER_SECOND
+        with trio.move_on_after(max(0.0, time_left)) as scope:
+            refusal = await self._attempts(call, relay, record)
+        if scope.cancelled_caught:
+            refusal = out_of_time(record.verdict, self._rng)
+        if refusal is not None and not responder.started:
+            await responder.refuse(refusal)
+        return refusal
+
+    async def _attempts(
+        self, call: Call, relay: AnswerRelay, record: RunRecord
+    ) -> Refusal | None:
+        """Try targets until one answered whole or no other may be tried."""
+        tried: set[TargetId] = set()
+        connects = 0
+        while True:
+            placement = self._targets.place(call, tried, self._clock.now())
+            if placement is None:
+                return await self._without_target(relay, record)
+            try:
+                await self._attempt(call, placement, relay, record)
+                return None
+            except AttemptFailedError as error:
+                failure = error.failure
+                record.settle()
+                self._log_failure(call, placement, failure, str(error), record)
+            tried.add(placement.target.record.id)
+            connects += not failure.sent
+            if connects > MAX_CONNECTS or not self._may_try_again(call, relay, record):
+                break
+        if await relay.pass_kept():
+            return None
+        return refusal_of(failure, record.verdict, self._rng)
+
+    async def _without_target(
+        self, relay: AnswerRelay, record: RunRecord
+    ) -> Refusal | None:
+        if await relay.pass_kept():
+            return None
+        if record.verdict is Verdict.NOT_RUN:
+            return no_target(self._rng)
+        return refusal_of(Failure.UNREACHABLE, record.verdict, self._rng)
+
+    def _may_try_again(self, call: Call, relay: AnswerRelay, record: RunRecord) -> bool:
+        progress = CallProgress(
+            repeatability=call.repeatability,
+            max_attempts=call.admitted.route.max_attempts,
+            sent=record.sent,
+            verdict=record.verdict,
+            answer_begun=relay.started,
+            time_left=Milliseconds(call.deadline - self._clock.now()),
+        )
+        if relay.started and relay.resume_after is None:
+            return False
+        budget = self._budget(call)
+        again = may_try_again(progress, budget.has_token())
+        if again and record.sent:
+            budget.spend()
+            self._metrics.count("retries", service=call.service)
+        return again
+
+    async def _attempt(
+        self,
+        call: Call,
+        placement: Placement,
+        relay: AnswerRelay,
+        record: RunRecord,
+    ) -> None:
+        """Run one attempt and learn from how it ends."""
+        target = placement.target.record
+        outcome = Outcome.UNKNOWN
+        exchange = Exchange(call, target, self._pool, self._translator, record)
+        self._targets.start(target.id)
+        try:
+            await exchange.open()
+            self._check_target(call, placement)
+            self._log_placed(call, placement, exchange.reused)
+            await self._run(call, placement, exchange, relay)
+            outcome = Outcome.GOOD
+        except AttemptFailedError as error:
+            outcome = _blame(error.failure)
+            raise
+        except trio.Cancelled:
+            if self._clock.now() >= call.deadline and not relay.started:
+                outcome = Outcome.FAILED
+            raise
+        finally:
+            self._targets.finish(target, outcome, self._clock.now())
+            with trio.CancelScope(shield=True):
+                await exchange.close()
+
+    def _check_target(self, call: Call, placement: Placement) -> None:
+        """Look once more right before the first byte: connecting took time."""
+        now = self._clock.now()
+        if not self._targets.may_send(placement.target.record, now):
+            raise AttemptFailedError(Failure.LEFT, "left while connecting")
+        if now >= call.deadline:
+            raise AttemptFailedError(Failure.LEFT, "no time left")
+
+    async def _run(
+        self,
+        call: Call,
+        placement: Placement,
+        exchange: Exchange,
+        relay: AnswerRelay,
+    ) -> None:
+        now = self._clock.now()
+        target = placement.target.record
+        source = placement.fetch_from
+        forwarding = Forwarding(
+            target=target,
+            account=call.admitted.account,
+            deadline=Milliseconds(call.deadline - now),
+            urgency=call.urgency if call.head.prompt else None,
+            fetch_from=None if source is None else source.record.address,
+            resume_after=relay.resume_after,
+        )
+        headers = self._translator.target_headers(call.headers, forwarding)
+        self._targets.note_prompt(call, target.id, now)
+        await exchange.send(headers)
+        head, facts = await exchange.receive_head()
+        self._metrics.time("first_byte_ms", self._clock.now() - now, call.service)
+        if facts.load is not None:
+            self._targets.note_load(target.id, facts.load, self._clock.now())
+        if head.status_code >= FIRST_SERVER_ERROR:
+            self._metrics.count("target_errors", service=call.service)
+        await relay.pass_on(exchange, head)
+
+    def _budget(self, call: Call) -> RetryBudget:
+        budget = self._budgets.get(call.service)
+        if budget is None:
+            capacity = max(1.0, self._settings.retry_slack / VMS_AT_ONCE)
+            budget = self._budgets[call.service] = RetryBudget(capacity)
+        return budget
+
+    def _log_placed(self, call: Call, placement: Placement, reused: bool) -> None:
+        source = placement.fetch_from
+        log_event(
+            "call_placed",
+            call=call.head.id,
+            service=call.service,
+            target=placement.target.record.id,
+            reason=placement.reason,
+            fetch=None if source is None else source.record.id,
+            reused=reused,
+            version=call.admitted.catalogue.version,
+            view_age_ms=self._targets.view_age(self._clock.now()),
+            left_ms=call.deadline - self._clock.now(),
+        )
+
+    def _log_failure(
+        self,
+        call: Call,
+        placement: Placement,
+        failure: Failure,
+        detail: str,
+        record: RunRecord,
+    ) -> None:
+        self._metrics.count("attempt_failures", kind=failure.value)
+        log_event(
+            "attempt_failed",
+            call=call.head.id,
+            target=placement.target.record.id,
+            failure=failure.value,
+            detail=detail,
+            verdict=record.verdict.value,
+            sent=record.sent,
+        )
+
+
+def _blame(failure: Failure) -> Outcome:
+    """Return what a failure says of the target's health."""
+    if failure is Failure.UNREACHABLE:
+        return Outcome.UNREACHABLE
+    if failure in (Failure.LEFT, Failure.REPLACED):
+        return Outcome.UNKNOWN
+    return Outcome.FAILED
--- /dev/null
+++ b/src/yuccafold/edge/_pages.py
@@ -0,0 +1,57 @@
+"""Serves small pages over HTTP: readiness and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+import h11
+import trio
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Milliseconds
+from yuccafold.edge._responder import EdgeResponder
+from yuccafold.http import CallerGone
+from yuccafold.http import Headers
+from yuccafold.http import HttpStream
+
+PAGE_IDLE_TIMEOUT = Milliseconds(10_000)
+"""How long a connection may stay idle; readiness is asked for every second."""
+
+MAX_PAGE_HEAD_BYTES = 8_192
+TEXT: Headers = ((b"Content-Type", b"text/plain; charset=utf-8"),)
+
+Page = Callable[[], tuple[int, str]]
+
+
+@final
+class PageServer:
+    """Answers every GET with one page, whatever its path."""
+
+    def __init__(self, page: Page) -> None:
+        self._page = page
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        http = HttpStream(stream, h11.SERVER, MAX_PAGE_HEAD_BYTES)
+        try:
+            with trio.move_on_after(PAGE_IDLE_TIMEOUT / MS_PER_SECOND) as scope:
+                while await self._serve_one(http):
+                    scope.relative_deadline = PAGE_IDLE_TIMEOUT / MS_PER_SECOND
+        except (CallerGone, OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            return
+        finally:
+            await http.close()
+
+    async def _serve_one(self, http: HttpStream) -> bool:
+        event = await http.next_event()
+        if not isinstance(event, h11.Request):
+            return False
+        while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            event = await http.next_event()
+        status, text = self._page()
+        await EdgeResponder(http, closing=False).answer(status, TEXT, text.encode())
+        if http.http.our_state is h11.DONE and http.http.their_state is h11.DONE:
+            http.http.start_next_cycle()
+            return True
+        return False
--- /dev/null
+++ b/src/yuccafold/edge/_targets.py
@@ -0,0 +1,87 @@
+"""All that this VM knows of targets, and the choice of one for a call."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+from typing import final
+
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import TargetId
+from yuccafold._log import log_event
+from yuccafold.edge._call import Call
+from yuccafold.edge._health import Outcome
+from yuccafold.edge._health import TargetHealth
+from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import TargetLoad
+from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._placement import HolderMemory
+from yuccafold.edge._placement import LoadTable
+from yuccafold.edge._placement import Placement
+from yuccafold.edge._placement import PlainPlacement
+from yuccafold.edge._placement import PromptPlacement
+from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._view import PlatformView
+
+
+@final
+class Targets:
+    """Places calls by view, health, load and prompts."""
+
+    def __init__(
+        self, view: PlatformView, settings: EdgeSettings, rng: random.Random
+    ) -> None:
+        self._view = view
+        self._health = TargetHealth()
+        self._loads = LoadTable()
+        self._holders = HolderMemory()
+        self._prompts = PromptPlacement(
+            self._loads, self._holders, settings.load_multiple
+        )
+        self._plain = PlainPlacement(self._loads, settings.zone, rng)
+
+    def place(
+        self, call: Call, tried: Collection[TargetId], now: Milliseconds
+    ) -> Placement | None:
+        """Return the target of the next attempt, ``None`` when there is none."""
+        ready = self._view.ready(call.service, now)
+        repeatable = call.repeatability is not Repeatability.ONCE
+        untried = [known for known in ready if known.record.id not in tried]
+        usable = self._health.usable(untried, repeatable, now)
+        if call.head.prompt:
+            present = self._view.present(call.service)
+            return self._prompts.choose(call.head.prompt, usable, present, now)
+        return self._plain.choose(usable, now)
+
+    def may_send(self, target: TargetRecord, now: Milliseconds) -> bool:
+        """Return whether a target may still get a call."""
+        return self._view.may_send(target, now)
+
+    def view_age(self, now: Milliseconds) -> Milliseconds | None:
+        """Return how old the view of the platform is."""
+        return self._view.age(now)
+
+    def start(self, target: TargetId) -> None:
+        """Count a call that is about to go to ``target``."""
+        self._loads.start(target)
+        self._health.start(target)
+
+    def finish(self, target: TargetRecord, outcome: Outcome, now: Milliseconds) -> None:
+        """Count the end of a call and judge the target by it."""
+        self._loads.finish(target.id)
+        peers = [known.record.id for known in self._view.present(target.service)]
+        if self._health.note(target.id, outcome, peers, now):
+            log_event("target_avoided", target=target.id, service=target.service)
+
+    def note_prompt(self, call: Call, target: TargetId, now: Milliseconds) -> None:
+        """Record that ``target`` reads the prompt of ``call``."""
+        self._holders.note(call.head.prompt, target, now)
+
+    def note_load(self, target: TargetId, load: TargetLoad, now: Milliseconds) -> None:
+        """Take a target's own word on its load."""
+        self._loads.report(target, load, now)
+
+    def forget(self, target: TargetId) -> None:
+        """Drop what is known of a target that started anew or is gone."""
+        self._health.forget(target)
+        self._holders.forget_target(target)
--- /dev/null
+++ b/src/yuccafold/http/_head.py
@@ -0,0 +1,44 @@
+"""Checks the heads of requests for forms that two readers may read apart."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import final
+
+import h11
+
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
+
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+"""Reason phrases by status."""
+
+
+class CallerGone(Exception):
+    """The caller closed its connection before its call was over."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HeadFault:
+    """Why a head is not taken, and the status that says so."""
+
+    status: int
+    reason: str
+
+
+def head_fault(request: h11.Request) -> HeadFault | None:
+    """Return why a head is not taken, ``None`` if it is."""
+    method = request.method.decode("latin-1")
+    names = [name for name, _ in request.headers]
+    if request.http_version != b"1.1":
+        version = request.http_version.decode("latin-1")
+        return HeadFault(505, f"expected HTTP/1.1, got HTTP/{version}")
+    if method not in METHODS:
+        return HeadFault(405, f"expected one of {sorted(METHODS)}, got {method!r:.40}")
+    if not request.target.startswith(b"/"):
+        reason = f"expected a path that starts with '/', got {request.target!r:.80}"
+        return HeadFault(400, reason)
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return HeadFault(400, "expected Content-Length or Transfer-Encoding, got both")
+    return None
--- a/src/yuccafold/router/_listener.py
+++ b/src/yuccafold/http/_listener.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from yuccafold.telemetry import log_event
+from yuccafold._log import log_event
 
 BACKLOG = 1_024
 ACCEPT_PAUSE_SECONDS = 0.1
--- a/src/yuccafold/router/_http.py
+++ b/src/yuccafold/http/_stream.py
@@ -65,6 +65,10 @@
         """Whether the other side has closed."""
         return self._eof
 
+    def renew(self, connection: h11.Connection) -> None:
+        """Go on with another protocol state on the same stream."""
+        self._http = connection
+
     async def next_event(self) -> Any:
         """Return the next ``h11`` event, reading from the stream as needed."""
         while True:
--- a/src/yuccafold/orders/_carrier.py
+++ b/src/yuccafold/orders/_carrier.py
@@ -22,10 +22,10 @@
 from yuccafold.orders._job import EngineAnswer
 from yuccafold.orders._job import EngineCommand
 from yuccafold.orders._options import OrderOptions
-from yuccafold.platform import HttpLimits
-from yuccafold.platform import HttpRequest
-from yuccafold.platform import HttpResponse
-from yuccafold.platform import call
+from yuccafold.readers import HttpLimits
+from yuccafold.readers import HttpRequest
+from yuccafold.readers import HttpResponse
+from yuccafold.readers import call
 
 OK = 200
 TICK_MS = 200
--- /dev/null
+++ b/src/yuccafold/platform/_catalogue.py
@@ -0,0 +1,149 @@
+"""Decodes the operator's configuration and the entries of targets."""
+
+from __future__ import annotations
+
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import AccountId
+from yuccafold._ids import ServiceId
+from yuccafold._ids import TargetId
+from yuccafold._ids import ZoneId
+from yuccafold.edge import Account
+from yuccafold.edge import CallerLimits
+from yuccafold.edge import Catalogue
+from yuccafold.edge import Repeatability
+from yuccafold.edge import Route
+from yuccafold.edge import RouteName
+from yuccafold.edge import ServiceSpec
+from yuccafold.edge import SocketAddress
+from yuccafold.edge import TargetRecord
+from yuccafold.edge import TargetState
+from yuccafold.edge import index_routes
+from yuccafold.platform._json import JsonObject
+from yuccafold.platform._json import field
+from yuccafold.platform._json import number
+from yuccafold.platform._json import parse_object
+
+DEFAULT_OBJECTIVE = 1_000
+"""Milliseconds within which an answer is on time where a route does not say."""
+
+DEFAULT_GAP = 1_000
+"""Milliseconds between events of a stream where a route states no objective."""
+
+
+def read_catalogue(data: bytes) -> Catalogue:
+    """Return a configuration; raises ``ValueError`` if it can't be read."""
+    source = parse_object(data)
+    routes = tuple(map(_route, field(source, "routes", list)))
+    specs = map(_service, field(source, "services", list))
+    return Catalogue(
+        version=field(source, "version", int),
+        routes=routes,
+        services={spec.id: spec for spec in specs},
+        limits=_limits(source.get("limits") or {}),
+        accounts=_accounts(source["tenants"]) if "tenants" in source else None,
+        by_host=index_routes(routes),
+    )
+
+
+def _milliseconds(
+    source: JsonObject, name: str, default: float | None = None
+) -> Milliseconds:
+    return Milliseconds(round(number(source, name, default)))
+
+
+def _route(source: JsonObject) -> Route:
+    streams = field(source, "kind", str) == "streaming"
+    return Route(
+        name=RouteName(field(source, "name", str)),
+        host=field(source, "host", str).lower(),
+        prefix=field(source, "prefix", str),
+        services=_services(source),
+        repeatability=_repeatability(source),
+        streams=streams,
+        timeout=_milliseconds(source, "timeout_ms"),
+        latency_objective=Milliseconds(
+            round(number(source, "target_latency_ms", 1000))
+        ),
+        event_gap_objective=_milliseconds(source, "gap_aim_ms", DEFAULT_GAP),
+        priority=round(number(source, "priority", 0)),
+        max_attempts=max(1, round(number(source, "max_attempts", 1))),
+        public=source.get("public") is True,
+    )
+
+
+def _services(source: JsonObject) -> tuple[tuple[ServiceId, float], ...]:
+    """Return the services of a route: one, or several that share its calls."""
+    if source.get("traffic_split"):
+        shares = tuple(
+            (ServiceId(field(share, "service", str)), number(share, "weight"))
+            for share in field(source, "traffic_split", list)
+        )
+        weighted = tuple(share for share in shares if share[1] > 0)
+        if not weighted:
+            raise ValueError("traffic_split: expected a weight above 0")
+        return weighted
+    return ((ServiceId(field(source, "service", str)), 1.0),)
+
+
+def _repeatability(source: JsonObject) -> Repeatability:
+    if source["kind"] == "safe":
+        return Repeatability.IDEMPOTENT
+    if source["kind"] == "streaming" and source.get("resumable") is True:
+        return Repeatability.RESUMABLE
+    return Repeatability.ONCE
+
+
+def _service(source: JsonObject) -> ServiceSpec:
+    engine = source.get("engine") or {}
+    return ServiceSpec(
+        id=ServiceId(field(source, "name", str)),
+        health_path=field(source, "health_path", str),
+        max_connections=round(number(source, "max_connections", 1)),
+        slots=round(number(engine, "slots", 0)),
+        cache_tokens=round(number(engine, "kv_cache_tokens", 0)),
+    )
+
+
+def _limits(source: JsonObject) -> CallerLimits:
+    defaults = CallerLimits()
+    return CallerLimits(
+        max_head=round(number(source, "max_header_bytes", defaults.max_head)),
+        max_body=round(number(source, "max_body_bytes", defaults.max_body)),
+        head_timeout=_milliseconds(source, "header_timeout_ms", defaults.head_timeout),
+        idle_timeout=_milliseconds(source, "idle_timeout_ms", defaults.idle_timeout),
+    )
+
+
+def _accounts(tenants: list[JsonObject]) -> dict[str, Account]:
+    """Return accounts by API key."""
+    return {
+        key: _account(tenant)
+        for tenant in tenants
+        for key in field(tenant, "api_keys", list)
+        if isinstance(key, str)
+    }
+
+
+def _account(tenant: JsonObject) -> Account:
+    priority = tenant.get("priority")
+    return Account(
+        AccountId(field(tenant, "name", str)),
+        None if priority is None else round(number(tenant, "priority")),
+    )
+
+
+def read_target(id: TargetId, data: bytes) -> TargetRecord:
+    """Return a target's entry; raises ``ValueError`` if it names none to use."""
+    source = parse_object(data)
+    address = field(source, "address", str)
+    SocketAddress.parse(address)
+    return TargetRecord(
+        id=id,
+        service=ServiceId(field(source, "service", str)),
+        address=address,
+        zone=ZoneId(field(source, "zone", str)),
+        slots=round(number(source, "slots", 1)),
+        state=TargetState(field(source, "state", str)),
+        # The Unix millisecond of the target's start, whatever ``born`` suggests.
+        born_ms=round(number(source, "born", 0)),
+    )
--- /dev/null
+++ b/src/yuccafold/platform/_json.py
@@ -0,0 +1,39 @@
+"""Reads fields of JSON objects that another program wrote."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import TypeVar
+
+Kind = TypeVar("Kind")
+
+JsonObject = dict[str, Any]
+
+
+def parse_object(data: bytes) -> JsonObject:
+    """Return the object in ``data``; raises ``ValueError`` if it holds none."""
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"expected JSON, got {data[:40]!r}: {error}") from error
+    if not isinstance(value, dict):
+        raise ValueError(f"expected an object, got {type(value).__name__}")
+    return value
+
+
+def field(source: JsonObject, name: str, kind: type[Kind]) -> Kind:
+    """Return a field of the expected kind; raises ``ValueError`` otherwise."""
+    value = source.get(name)
+    if not isinstance(value, kind) or (kind is not bool and isinstance(value, bool)):
+        got = type(value).__name__
+        raise ValueError(f"{name}: expected {kind.__name__}, got {got}")
+    return value
+
+
+def number(source: JsonObject, name: str, default: float | None = None) -> float:
+    """Return a number; ``default`` stands in for a field that is not there."""
+    value = source.get(name, default)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise ValueError(f"{name}: expected a number, got {type(value).__name__}")
+    return value
--- /dev/null
+++ b/src/yuccafold/platform/_settings.py
@@ -0,0 +1,66 @@
+"""The settings file that the platform writes: lines of ``a.b=value``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from yuccafold._clock import Milliseconds
+from yuccafold._clock import seconds
+from yuccafold._ids import VmId
+from yuccafold._ids import ZoneId
+from yuccafold.edge import EdgeSettings
+from yuccafold.edge import SocketAddress
+
+SETTINGS_VARIABLE = "YUCCAFOLD_SETTINGS"
+"""Environment variable with the path of the settings file."""
+
+Value = TypeVar("Value")
+
+
+def read_settings(text: str, metrics_port: int = 0) -> EdgeSettings:
+    """Return the settings that ``text`` holds; unknown names are ignored.
+
+    Raises ``ValueError`` with the name, what was expected and what came.
+    """
+    lines = (line.partition("=") for line in text.splitlines() if "=" in line)
+    fields = {name.strip(): value.strip() for name, _, value in lines}
+
+    def read(name: str, convert: Callable[[str], Value]) -> Value:
+        if name not in fields:
+            raise ValueError(f"{name}: expected a value, got none")
+        try:
+            return convert(fields[name])
+        except ValueError as error:
+            raise ValueError(f"{name}: {error}") from error
+
+    return EdgeSettings(
+        vm=VmId(read("node_name", str)),
+        zone=ZoneId(read("zone", str)),
+        callers=read("listen_addresses.front", SocketAddress.parse),
+        readiness=read("listen_addresses.readiness", SocketAddress.parse),
+        platform=read("platform.address", SocketAddress.parse),
+        key_lifetime=read("bounds.revocation_ms", _milliseconds),
+        fails_closed=read("bounds.fail_closed", _truth),
+        apply_within=read("bounds.config_apply_ms", _milliseconds),
+        drain_within=read("bounds.drain_timeout_ms", _milliseconds),
+        grace_period=read("bounds.grace_period_s", _seconds),
+        retry_ratio=read("bounds.retry_budget_ratio", float),
+        retry_slack=read("bounds.retry_budget_slack", float),
+        load_multiple=read("bounds.cap_x", float),
+        metrics_port=metrics_port,
+    )
+
+
+def _milliseconds(text: str) -> Milliseconds:
+    return Milliseconds(round(float(text)))
+
+
+def _seconds(text: str) -> Milliseconds:
+    return seconds(float(text))
+
+
+def _truth(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"expected true or false, got {text!r}")
+    return text == "true"
--- a/src/yuccafold/platform/_readers.py
+++ b/src/yuccafold/readers/_readers.py
@@ -13,14 +13,14 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold.fleet import VmListSnapshot
 from yuccafold.fleet import parse_vm_list
-from yuccafold.platform._http import HttpFault
-from yuccafold.platform._http import HttpLimits
-from yuccafold.platform._http import HttpRequest
-from yuccafold.platform._http import HttpResponse
-from yuccafold.platform._http import call
-from yuccafold.platform._watch import Answer
-from yuccafold.platform._watch import CallPacer
-from yuccafold.platform._watch import WatchOptions
+from yuccafold.readers._http import HttpFault
+from yuccafold.readers._http import HttpLimits
+from yuccafold.readers._http import HttpRequest
+from yuccafold.readers._http import HttpResponse
+from yuccafold.readers._http import call
+from yuccafold.readers._watch import Answer
+from yuccafold.readers._watch import CallPacer
+from yuccafold.readers._watch import WatchOptions
 
 OK = 200
 NOT_MODIFIED = 304
--- a/src/yuccafold/router/__init__.py
+++ b/src/yuccafold/router/__init__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from yuccafold._supervisor import TooManyFailuresError
 from yuccafold.router._router import Router
 from yuccafold.router._router import RouterAddresses
-from yuccafold.router._supervisor import TooManyFailuresError
 
 __all__ = ["Router", "RouterAddresses", "TooManyFailuresError"]
--- a/src/yuccafold/router/_body.py
+++ b/src/yuccafold/router/_body.py
@@ -8,9 +8,10 @@
 import h11
 
 from yuccafold._verdict import Refusal
+from yuccafold.http import CallerGone
+from yuccafold.http import HttpStream
 from yuccafold.router._errors import CallRefused
 from yuccafold.router._errors import bad_request
-from yuccafold.router._http import HttpStream
 
 HOLD_BYTES = 65_536
 """Bodies up to this size are always held, so that a retry can send them again."""
@@ -80,7 +81,3 @@
     def _too_large(self) -> Refusal:
         reason = f"expected a body of at most {self._limit} bytes, got more"
         return bad_request(reason, 413, "body_too_large")
-
-
-class CallerGone(Exception):
-    """The caller closed its connection before its call was over."""
--- a/src/yuccafold/router/_call.py
+++ b/src/yuccafold/router/_call.py
@@ -12,7 +12,7 @@
 from yuccafold._ids import IdempotencyKey
 from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
-from yuccafold.router._http import Headers
+from yuccafold.http import Headers
 from yuccafold.settings import Policy
 from yuccafold.settings import Service
 
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -12,10 +12,15 @@
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import IdempotencyKey
+from yuccafold._log import log_event
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
+from yuccafold.http import CallerGone
+from yuccafold.http import Headers
+from yuccafold.http import HttpStream
+from yuccafold.http import first_value
+from yuccafold.http import head_fault
 from yuccafold.router._body import HOLD_BYTES
-from yuccafold.router._body import CallerGone
 from yuccafold.router._body import RequestBody
 from yuccafold.router._call import Call
 from yuccafold.router._call import ChatTurn
@@ -28,9 +33,6 @@
 from yuccafold.router._forward import Forwarder
 from yuccafold.router._forward import context_of
 from yuccafold.router._forward import traceparent
-from yuccafold.router._http import Headers
-from yuccafold.router._http import HttpStream
-from yuccafold.router._http import first_value
 from yuccafold.router._identity import CallIds
 from yuccafold.router._refusals import RefusalLog
 from yuccafold.router._resolve import Resolved
@@ -41,13 +43,11 @@
 from yuccafold.settings import ServiceKind
 from yuccafold.settings import SettingsTree
 from yuccafold.telemetry import Telemetry
-from yuccafold.telemetry import log_event
 
 MAX_HEAD_BYTES = 32_768
 MAX_KEY_BYTES = 255
 IDLE_TIMEOUT = Milliseconds(60_000)
 WATCH_BYTES = 65_536
-METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 CANCELLED_BY_CALLER = 499
 
 
@@ -297,22 +297,11 @@
 
 
 def _check_head(request: h11.Request) -> Refusal | None:
-    """Return why a head is not taken: forms that two readers may read apart."""
-    method = request.method.decode("latin-1")
+    """Return why a head is not taken."""
+    fault = head_fault(request)
+    if fault is not None:
+        return bad_request(fault.reason, fault.status)
     names = [name for name, _ in request.headers]
-    if request.http_version != b"1.1":
-        version = request.http_version.decode("latin-1")
-        return bad_request(f"expected HTTP/1.1, got HTTP/{version}", 505)
-    if method not in METHODS:
-        return bad_request(
-            f"expected one of {sorted(METHODS)}, got {method!r:.40}", 405
-        )
-    if not request.target.startswith(b"/"):
-        return bad_request(
-            f"expected a path that starts with '/', got {request.target!r:.80}"
-        )
-    if b"content-length" in names and b"transfer-encoding" in names:
-        return bad_request("expected Content-Length or Transfer-Encoding, got both")
     if names.count(b"idempotency-key") > 1:
         return bad_request("expected at most one Idempotency-Key, got several")
     return None
--- a/src/yuccafold/router/_chat.py
+++ b/src/yuccafold/router/_chat.py
@@ -19,10 +19,10 @@
 from yuccafold._ids import ChatId
 from yuccafold._ids import TargetId
 from yuccafold._verdict import Refusal
+from yuccafold.http import Headers
+from yuccafold.http import first_value
 from yuccafold.router._call import ChatTurn
 from yuccafold.router._errors import bad_request
-from yuccafold.router._http import Headers
-from yuccafold.router._http import first_value
 
 BYTES_PER_TOKEN = 4
 """The usual ratio for natural-language text, used where no count is known."""
--- a/src/yuccafold/router/_errors.py
+++ b/src/yuccafold/router/_errors.py
@@ -9,7 +9,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
-from yuccafold.router._http import Headers
+from yuccafold.http import Headers
 
 VERDICT_HEADER = b"Yuccafold-Verdict"
 REVISION_HEADER = b"Yuccafold-Revision"
--- a/src/yuccafold/router/_forward.py
+++ b/src/yuccafold/router/_forward.py
@@ -16,6 +16,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
 from yuccafold._ids import TargetId
+from yuccafold._log import log_event
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
 from yuccafold.delivery import AttemptEnd
@@ -25,15 +26,16 @@
 from yuccafold.delivery import RetryBudget
 from yuccafold.delivery import RetryDecision
 from yuccafold.delivery import decide_retry
+from yuccafold.http import ConnectionPool
+from yuccafold.http import Headers
+from yuccafold.http import end_to_end
+from yuccafold.http import first_value
 from yuccafold.router._body import RequestBody
 from yuccafold.router._call import Call
 from yuccafold.router._chat import MAX_HINTS
 from yuccafold.router._errors import HINT_HEADER
 from yuccafold.router._errors import VERDICT_HEADER
 from yuccafold.router._errors import CallRefused
-from yuccafold.router._http import Headers
-from yuccafold.router._http import end_to_end
-from yuccafold.router._http import first_value
 from yuccafold.router._interfaces import Admission
 from yuccafold.router._interfaces import OnceGate
 from yuccafold.router._interfaces import Placement
@@ -46,12 +48,10 @@
 from yuccafold.router._upstream import EarlyAnswer
 from yuccafold.router._upstream import Exchange
 from yuccafold.router._upstream import FailureKind
-from yuccafold.router._upstream import TargetPool
 from yuccafold.router._upstream import exchange
 from yuccafold.router._upstream import forwarded_headers
 from yuccafold.settings import Target
 from yuccafold.telemetry import Telemetry
-from yuccafold.telemetry import log_event
 
 PROPAGATOR = TraceContextTextMapPropagator()
 SERVER_ERROR_STATUSES = frozenset({502, 503, 504})
@@ -65,7 +65,7 @@
         self,
         clock: Clock,
         rng: random.Random,
-        pool: TargetPool,
+        pool: ConnectionPool,
         admission: Admission,
         once: OnceGate,
         guard: RequestGuard,
--- a/src/yuccafold/router/_interfaces.py
+++ b/src/yuccafold/router/_interfaces.py
@@ -11,8 +11,8 @@
 from yuccafold._ids import TargetId
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
+from yuccafold.http import Headers
 from yuccafold.router._call import Call
-from yuccafold.router._http import Headers
 from yuccafold.settings import Target
 
 
--- a/src/yuccafold/router/_operator.py
+++ b/src/yuccafold/router/_operator.py
@@ -14,7 +14,7 @@
 import h11
 import trio
 
-from yuccafold.router._http import HttpStream
+from yuccafold.http import HttpStream
 
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 65_536
--- a/src/yuccafold/router/_orders.py
+++ b/src/yuccafold/router/_orders.py
@@ -15,6 +15,7 @@
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold._outgoing import Outgoing
+from yuccafold._supervisor import ChildSpec
 from yuccafold.control import ControlPlane
 from yuccafold.fleet import ByteClass
 from yuccafold.fleet import ListedState
@@ -23,7 +24,6 @@
 from yuccafold.orders import OrderCarrier
 from yuccafold.orders import OrderController
 from yuccafold.orders import OrderOptions
-from yuccafold.router._supervisor import ChildSpec
 from yuccafold.settings import ProcessSettings
 from yuccafold.settings import SettingsTree
 
--- a/src/yuccafold/router/_platform.py
+++ b/src/yuccafold/router/_platform.py
@@ -16,6 +16,8 @@
 from yuccafold._ids import RegionId
 from yuccafold._ids import VmId
 from yuccafold._ids import ZoneId
+from yuccafold._log import log_event
+from yuccafold._supervisor import ChildSpec
 from yuccafold.control import ControlTask
 from yuccafold.control import OfferSettings
 from yuccafold.control import ServiceAnswered
@@ -24,14 +26,12 @@
 from yuccafold.fleet import PeerNetwork
 from yuccafold.fleet import VmListEntry
 from yuccafold.fleet import VmListSnapshot
-from yuccafold.platform import SettingsReader
-from yuccafold.platform import VmListReader
-from yuccafold.platform import WatchOptions
-from yuccafold.platform import chosen_watchers
+from yuccafold.readers import SettingsReader
+from yuccafold.readers import VmListReader
+from yuccafold.readers import WatchOptions
+from yuccafold.readers import chosen_watchers
 from yuccafold.replica import read_revision
-from yuccafold.router._supervisor import ChildSpec
 from yuccafold.settings import ProcessSettings
-from yuccafold.telemetry import log_event
 
 LIST_WAIT_MS = 2_000
 """How long one watch of the VM list waits; each answer confirms the list."""
--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -16,10 +16,10 @@
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
 from yuccafold._verdict import VerdictRecord
-from yuccafold.router._body import CallerGone
+from yuccafold.http import CallerGone
+from yuccafold.http import Headers
+from yuccafold.http import first_value
 from yuccafold.router._call import Call
-from yuccafold.router._http import Headers
-from yuccafold.router._http import first_value
 from yuccafold.router._interfaces import StoredAnswer
 from yuccafold.router._responder import EVENT_STREAM
 from yuccafold.router._responder import Responder
--- a/src/yuccafold/router/_resolve.py
+++ b/src/yuccafold/router/_resolve.py
@@ -13,9 +13,9 @@
 from yuccafold._ids import AccountId
 from yuccafold._ids import ServiceId
 from yuccafold._verdict import Refusal
+from yuccafold.http import Headers
+from yuccafold.http import first_value
 from yuccafold.router._errors import bad_request
-from yuccafold.router._http import Headers
-from yuccafold.router._http import first_value
 from yuccafold.settings import Policy
 from yuccafold.settings import Service
 from yuccafold.settings import SettingsTree
--- a/src/yuccafold/router/_responder.py
+++ b/src/yuccafold/router/_responder.py
@@ -2,21 +2,20 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import final
 
 import h11
 import trio
 
 from yuccafold._verdict import Refusal
-from yuccafold.router._body import CallerGone
+from yuccafold.http import REASONS
+from yuccafold.http import CallerGone
+from yuccafold.http import Headers
+from yuccafold.http import HttpStream
 from yuccafold.router._errors import ErrorAnswer
 from yuccafold.router._errors import error_event
-from yuccafold.router._http import Headers
-from yuccafold.router._http import HttpStream
 
 EVENT_STREAM = "text/event-stream"
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 @final
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -15,11 +15,16 @@
 from yuccafold._clock import MonotonicClock
 from yuccafold._ids import Incarnation
 from yuccafold._ids import VmId
+from yuccafold._log import log_event
+from yuccafold._supervisor import ChildSpec
+from yuccafold._supervisor import Supervisor
 from yuccafold.control import INBOX_LENGTH
 from yuccafold.control import ControlPlane
 from yuccafold.control import ControlTask
 from yuccafold.control import OfferSettings
 from yuccafold.fleet import PeerNetwork
+from yuccafold.http import ConnectionPool
+from yuccafold.http import Listener
 from yuccafold.replica import read_revision
 from yuccafold.router._caller import CallerConnection
 from yuccafold.router._forward import Forwarder
@@ -27,7 +32,6 @@
 from yuccafold.router._gates import FleetGuard
 from yuccafold.router._gates import FleetOnce
 from yuccafold.router._identity import CallIds
-from yuccafold.router._listener import Listener
 from yuccafold.router._meters import Meters
 from yuccafold.router._operator import OperatorPort
 from yuccafold.router._orders import OrderTasks
@@ -36,13 +40,9 @@
 from yuccafold.router._refusals import RefusalLog
 from yuccafold.router._state import RouterState
 from yuccafold.router._status import StatusPages
-from yuccafold.router._supervisor import ChildSpec
-from yuccafold.router._supervisor import Supervisor
-from yuccafold.router._upstream import TargetPool
 from yuccafold.settings import ProcessSettings
 from yuccafold.settings import SettingsTree
 from yuccafold.telemetry import Telemetry
-from yuccafold.telemetry import log_event
 from yuccafold.telemetry import open_telemetry
 
 READINESS_INTERVAL_SECONDS = 0.05
@@ -77,7 +77,7 @@
         self._incarnation = Incarnation(time.time_ns() // 1_000_000)
         self._state = RouterState()
         self._telemetry = open_telemetry(settings)
-        self._pool = TargetPool(self._clock)
+        self._pool = ConnectionPool(self._clock)
         self._ids = CallIds(VmId(settings.vm), self._incarnation)
         commands, inbox = trio.open_memory_channel(INBOX_LENGTH)
         self._network = PeerNetwork(
--- a/src/yuccafold/router/_upstream.py
+++ b/src/yuccafold/router/_upstream.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 from typing import final
@@ -16,22 +14,19 @@
 import trio
 
 from yuccafold._clock import MS_PER_SECOND
-from yuccafold._clock import Clock
-from yuccafold._clock import Milliseconds
 from yuccafold._verdict import Verdict
 from yuccafold._verdict import VerdictRecord
+from yuccafold.http import ConnectionPool
+from yuccafold.http import Headers
+from yuccafold.http import HttpStream
+from yuccafold.http import end_to_end
+from yuccafold.http import first_value
 from yuccafold.router._body import HOLD_BYTES
 from yuccafold.router._body import RequestBody
 from yuccafold.router._call import Call
-from yuccafold.router._http import Headers
-from yuccafold.router._http import HttpStream
-from yuccafold.router._http import end_to_end
-from yuccafold.router._http import first_value
 from yuccafold.router._stall import StallWatch
 from yuccafold.settings import Target
 
-IDLE_PER_TARGET = 64
-IDLE_LIMIT = Milliseconds(20_000)
 MAX_TARGET_HEAD_BYTES = 65_536
 CONTINUE = 100
 BODILESS_STATUSES = frozenset({204, 304})
@@ -72,63 +67,6 @@
         return self._kind
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class IdleConnection:
-    """A connection that is proven clean, and since when it has been idle."""
-
-    http: HttpStream
-    since: Milliseconds
-
-
-@final
-class TargetPool:
-    """Keeps clean connections to targets for later attempts."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._idle: dict[str, deque[IdleConnection]] = {}
-
-    async def take(self, address: str) -> IdleConnection | None:
-        """Return an idle connection that still looks sound, or ``None``."""
-        idle = self._idle.get(address, deque())
-        while idle:
-            entry = idle.pop()
-            fresh = self._clock.now() - entry.since <= IDLE_LIMIT
-            if fresh and entry.http.is_clean():
-                return entry
-            await entry.http.close()
-        return None
-
-    def idle_ms(self, entry: IdleConnection) -> int:
-        """Return how long a connection was not used."""
-        return self._clock.now() - entry.since
-
-    async def connect(self, address: str) -> HttpStream:
-        """Return a new connection to ``address``."""
-        host, port = address.rsplit(":", 1)
-        stream = await trio.open_tcp_stream(host.strip("[]"), int(port))
-        return HttpStream(stream, h11.CLIENT, MAX_TARGET_HEAD_BYTES)
-
-    async def put(self, address: str, http: HttpStream) -> None:
-        """Keep a connection whose exchange ended cleanly."""
-        idle = self._idle.setdefault(address, deque())
-        if http.is_clean() and len(idle) < IDLE_PER_TARGET:
-            idle.append(IdleConnection(http, self._clock.now()))
-        else:
-            await http.close()
-
-    async def discard(self, address: str) -> None:
-        """Close every idle connection to ``address``: one of them went silent."""
-        for entry in self._idle.pop(address, deque()):
-            await entry.http.close()
-
-    async def close(self) -> None:
-        """Close every idle connection."""
-        for address in list(self._idle):
-            await self.discard(address)
-
-
 @final
 class Exchange:
     """One attempt of one call on one target.
@@ -137,7 +75,7 @@
     meet the socket.
     """
 
-    def __init__(self, call: Call, target: Target, pool: TargetPool) -> None:
+    def __init__(self, call: Call, target: Target, pool: ConnectionPool) -> None:
         self._call = call
         self._target = target
         self._pool = pool
@@ -169,7 +107,7 @@
             await self._reuse(address)
         if self._http is None:
             with self._guard(self._call.policy.connect_timeout_ms, FailureKind.CONNECT):
-                self._http = await self._pool.connect(address)
+                self._http = await connect(address)
 
     async def _reuse(self, address: str) -> None:
         """Take an idle connection; one that may have gone silent is asked first."""
@@ -352,6 +290,13 @@
         return bool(swallowed)
 
 
+async def connect(address: str) -> HttpStream:
+    """Return a new connection to ``address``."""
+    host, port = address.rsplit(":", 1)
+    stream = await trio.open_tcp_stream(host.strip("[]"), int(port))
+    return HttpStream(stream, h11.CLIENT, MAX_TARGET_HEAD_BYTES)
+
+
 class EarlyAnswer(Exception):
     """A target that answered finally instead of asking for the body."""
 
@@ -373,7 +318,7 @@
 
 @asynccontextmanager
 async def exchange(
-    call: Call, target: Target, pool: TargetPool
+    call: Call, target: Target, pool: ConnectionPool
 ) -> AsyncIterator[Exchange]:
     """Run one attempt; whatever happens, its connection is put back or dropped."""
     attempt = Exchange(call, target, pool)
--- a/testing/platform/test_http.py
+++ b/testing/readers/test_http.py
@@ -3,9 +3,9 @@
 import pytest
 import trio
 
-from yuccafold.platform import HttpLimits
-from yuccafold.platform import HttpRequest
-from yuccafold.platform import call
+from yuccafold.readers import HttpLimits
+from yuccafold.readers import HttpRequest
+from yuccafold.readers import call
 
 LIMITS = HttpLimits(answer_timeout_ms=300, max_body_bytes=1_000)
 
--- a/testing/platform/test_readers.py
+++ b/testing/readers/test_readers.py
@@ -5,9 +5,9 @@
 
 import trio
 
-from yuccafold.platform import SettingsReader
-from yuccafold.platform import VmListReader
-from yuccafold.platform import WatchOptions
+from yuccafold.readers import SettingsReader
+from yuccafold.readers import VmListReader
+from yuccafold.readers import WatchOptions
 
 FAST = WatchOptions(
     wait_ms=2_000, poll_interval_ms=20, min_interval_ms=1, first_backoff_ms=5
--- a/testing/platform/test_watch.py
+++ b/testing/readers/test_watch.py
@@ -3,11 +3,11 @@
 import random
 
 from yuccafold._ids import VmId
-from yuccafold.platform import Answer
-from yuccafold.platform import CallPacer
-from yuccafold.platform import WatchOptions
-from yuccafold.platform import calls_per_second
-from yuccafold.platform import chosen_watchers
+from yuccafold.readers import Answer
+from yuccafold.readers import CallPacer
+from yuccafold.readers import WatchOptions
+from yuccafold.readers import calls_per_second
+from yuccafold.readers import chosen_watchers
 
 SERVICE_CALLS_PER_SECOND = 2_000
 
--- a/tools/fleet_processes.py
+++ b/tools/fleet_processes.py
@@ -47,9 +47,9 @@
 from yuccafold.load import Outcome
 from yuccafold.load import PlainCallerSettings
 from yuccafold.load import run_load
-from yuccafold.platform import HttpLimits
-from yuccafold.platform import HttpRequest
-from yuccafold.platform import call
+from yuccafold.readers import HttpLimits
+from yuccafold.readers import HttpRequest
+from yuccafold.readers import call
 from yuccafold.standins import CostModel
 from yuccafold.standins import EngineSettings
 from yuccafold.standins import GenerationSettings
