Keep prompts with the targets that hold them, and fetch the rest

Ruled out: fewer fetches (reading 1,000 tokens again costs five times what moving them costs).

Change: targets that started long after the oldest one rank behind, so that prompts stay where they are; the target of a call fetches from the one known to hold the longest beginning of its prompt. Stand-ins of the store and of the platform's targets; tests of the decisions. absl is not loaded where there are no flags.

--- a/src/yuccafold/cli/_command.py
+++ b/src/yuccafold/cli/_command.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import importlib
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import TYPE_CHECKING
 from typing import final
 
-from absl import flags
+if TYPE_CHECKING:
+    from absl import flags
 
 
 class ExitCode(IntEnum):
@@ -43,10 +46,16 @@
 
     def invoke(self, arguments: Sequence[str]) -> int:
         """Parse ``arguments`` and run the command."""
+        from absl import flags
+
         values = flags.FlagValues()
         flags.DEFINE_bool("help", False, "Print the flags.", flag_values=values)
         self.define(values)
-        rest = values([self.name, *arguments])[1:]
+        try:
+            rest = values([self.name, *arguments])[1:]
+        except flags.Error as error:
+            print(f"yuccafold {self.name}: {error}", file=sys.stderr)
+            return ExitCode.BAD_INPUT
         if values["help"].value:
             print(f"yuccafold {self.name}: {self.summary}\n{values.get_help()}")
             return ExitCode.OK
--- a/src/yuccafold/cli/_edge_router.py
+++ b/src/yuccafold/cli/_edge_router.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 
 import trio
@@ -30,9 +31,14 @@
 STANDARD_OUTPUT = 1
 
 
-def run(path: str, metrics_port: int) -> int:
+METRICS_PORT = "YUCCAFOLD_METRICS_PORT"
+"""Variable with the port of the metrics page; without it there is none."""
+
+
+def run(path: str, environment: Mapping[str, str]) -> int:
     """Run until told to stop; settings that can't be read end the process."""
     try:
+        metrics_port = int(environment.get(METRICS_PORT, "0"))
         settings = read_settings(Path(path).read_text(encoding="utf-8"), metrics_port)
     except (OSError, ValueError) as error:
         print(f"{path}: {error}", file=sys.stderr)
--- a/src/yuccafold/cli/_fleet_router.py
+++ b/src/yuccafold/cli/_fleet_router.py
@@ -23,7 +23,7 @@
 from yuccafold.settings import parse_tree
 
 
-def run(path: str) -> int:
+def run_fleet(path: str) -> int:
     """Run the daemon by the settings at ``path`` until it is told to stop."""
     read = _read(path)
     if isinstance(read, Err):
--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Sequence
 
-from absl import flags
-
 from yuccafold.cli._command import Command
 from yuccafold.cli._command import ExitCode
 from yuccafold.cli._command import PageCommand
@@ -48,6 +47,10 @@
 }
 
 
+PLATFORM_SETTINGS = "YUCCAFOLD_SETTINGS"
+"""Variable with the path of settings that a platform wrote."""
+
+
 def usage() -> str:
     """Return the list of commands."""
     rows = (f"  {command.name:10} {command.summary}" for command in COMMANDS.values())
@@ -60,13 +63,14 @@
     if not arguments or arguments[0] in ("--help", "-h", "help"):
         print(usage())
         return ExitCode.OK if arguments else ExitCode.BAD_INPUT
+    if arguments == ["router"] and PLATFORM_SETTINGS in os.environ:
+        # Takes no flags, and spares the memory of what parses them.
+        from yuccafold.cli import _edge_router
+
+        return _edge_router.run(os.environ[PLATFORM_SETTINGS], os.environ)
     command = COMMANDS.get(arguments[0])
     if command is None:
         known = ", ".join(COMMANDS)
         print(f"expected a command of {known}, got {arguments[0]!r}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    try:
-        return command.invoke(arguments[1:])
-    except flags.Error as error:
-        print(f"yuccafold {command.name}: {error}", file=sys.stderr)
-        return ExitCode.BAD_INPUT
+    return command.invoke(arguments[1:])
--- a/src/yuccafold/delivery/__init__.py
+++ b/src/yuccafold/delivery/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from yuccafold._retry_budget import RetryBudget
 from yuccafold.delivery._call_verdict import CallVerdict
 from yuccafold.delivery._deaths import InFlight
 from yuccafold.delivery._deaths import SentReport
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -191,9 +191,9 @@
             resume_after=relay.resume_after,
         )
         headers = self._translator.target_headers(call.headers, forwarding)
-        self._targets.note_prompt(call, target.id, now)
         await exchange.send(headers)
         head, facts = await exchange.receive_head()
+        self._targets.note_prompt(call, target.id, self._clock.now())
         self._metrics.time("first_byte_ms", self._clock.now() - now, call.service)
         if facts.load is not None:
             self._targets.note_load(target.id, facts.load, self._clock.now())
--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -34,8 +34,11 @@
 HOLDER_LIFETIME = Milliseconds(60_000)
 """How long a part is taken to stay in the memory of the target that read it."""
 
-YOUNG_TARGET = Milliseconds(20_000)
-"""How long after a target came other targets may hold more of its prompts."""
+NEW_TARGET = Milliseconds(60_000)
+"""How long a new target takes no prompts of others: chats pause for about as long."""
+
+SAME_GENERATION = Milliseconds(10_000)
+"""Targets started within this of the oldest one are none of them new."""
 
 OTHER_ZONE_PENALTY = 2.0
 """Calls that the target of our own zone may have more before another one is taken."""
@@ -114,7 +117,7 @@
 
 @final
 class HolderMemory:
-    """Which targets this VM sent a prompt part to, the latest first."""
+    """Which targets this VM had read a prompt part, the latest first."""
 
     def __init__(self) -> None:
         self._holders: OrderedDict[PartId, dict[TargetId, Milliseconds]] = OrderedDict()
@@ -122,19 +125,35 @@
     def note(
         self, parts: Iterable[PromptPart], target: TargetId, now: Milliseconds
     ) -> None:
-        """Record that ``target`` reads ``parts``."""
+        """Record that ``target`` has read ``parts``."""
         for part in parts:
             self._holders.setdefault(part.id, {})[target] = now
             self._holders.move_to_end(part.id)
         while len(self._holders) > HOLDER_MEMORY_PARTS:
             self._holders.popitem(last=False)
 
-    def holders(self, part: PartId, now: Milliseconds) -> dict[TargetId, Milliseconds]:
-        """Return when each target that may still hold ``part`` got it last."""
-        known = self._holders.get(part, {})
-        return {
-            target: at for target, at in known.items() if now - at < HOLDER_LIFETIME
-        }
+    def held_tokens(
+        self, parts: Iterable[PromptPart], now: Milliseconds
+    ) -> dict[TargetId, int]:
+        """Return how many leading tokens of ``parts`` each target probably holds."""
+        tokens: dict[TargetId, int] = {}
+        length = 0
+        for part in parts:
+            known = self._holders.get(part.id, {})
+            holders = [
+                target for target, at in known.items() if now - at < HOLDER_LIFETIME
+            ]
+            # A part counts only where all parts before it are held too.
+            reached = {
+                target: length + part.tokens
+                for target in holders
+                if tokens.get(target, 0) == length
+            }
+            if not reached:
+                break
+            tokens |= reached
+            length += part.tokens
+        return tokens
 
     def forget_target(self, target: TargetId) -> None:
         """Record that a target lost its memory."""
@@ -155,9 +174,10 @@
 class PromptPlacement:
     """Keeps calls that share a prompt together, under the load bound.
 
-    Answers the load in which a few prompts get much of the traffic: the target
+    Answers two loads. Where a few prompts get much of the traffic, the target
     that ranks first holds the prompt; once it is near the bound the next one
-    fetches the prompt from it.
+    fetches the prompt from it. Where targets are added or replaced, prompts
+    stay with those that hold them, and the new ones take what spills over.
     """
 
     def __init__(
@@ -181,11 +201,10 @@
         if not shared:
             least = min(usable, key=lambda known: self._load(known, now))
             return Placement(least, "least-loaded")
-        key = shared[-1]
-        ranked = rank(key.id, usable)
+        ranked = _established_first(rank(shared[-1].id, usable), now)
         target = self._within_bound(ranked, now)
         reason = "first-ranked" if target is ranked[0] else "spilled"
-        source = self._source(key, target, present, now)
+        source = self._source(shared, target, present, now)
         return Placement(target, reason, source)
 
     def _within_bound(
@@ -208,25 +227,39 @@
 
     def _source(
         self,
-        key: PromptPart,
+        shared: Sequence[PromptPart],
         target: KnownTarget,
         present: Sequence[KnownTarget],
         now: Milliseconds,
     ) -> KnownTarget | None:
-        """Return who holds the prompt that ``target`` probably lacks."""
-        held = self._holders.holders(key.id, now)
-        if target.record.id in held:
+        """Return who holds more of the prompt than ``target``.
+
+        Fetching what is there already moves nothing, so a guess may be wrong.
+        """
+        held = self._holders.held_tokens(shared, now)
+        own = held.get(target.record.id, 0)
+        if own == sum(part.tokens for part in shared):
             return None
         others = [known for known in present if known is not target]
-        seen = [known for known in others if known.record.id in held]
-        if seen:
-            return max(seen, key=lambda known: held[known.record.id])
-        ranked = rank(key.id, [*others, target])
-        is_first = ranked[0] is target
-        is_young = target.since and now - target.since < YOUNG_TARGET
-        if is_first and not is_young:
-            return None
-        return next((known for known in ranked if known is not target), None)
+        best = max(others, key=lambda known: held.get(known.record.id, 0), default=None)
+        if best is not None and held.get(best.record.id, 0) > own:
+            return best
+        ranked = _established_first(rank(shared[-1].id, present), now)
+        return None if not ranked or ranked[0] is target else ranked[0]
+
+
+def _established_first(
+    ranked: Sequence[KnownTarget], now: Milliseconds
+) -> list[KnownTarget]:
+    """Return ``ranked`` with targets behind that came long after the oldest one."""
+    oldest = min((known.record.born_ms for known in ranked), default=0)
+    return sorted(
+        ranked,
+        key=lambda known: (
+            known.record.born_ms - oldest > SAME_GENERATION
+            and now - known.since < NEW_TARGET
+        ),
+    )
 
 
 @final
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -27,7 +27,7 @@
 class KnownTarget:
     """A target's record and what this process has seen of its coming and going.
 
-    ``since`` is when it was first seen, 0 if it was in the first list.
+    ``since`` is when it was first seen.
     ``leaving_since`` is set once it drains or its entry is gone. ``lapsed`` is
     set if the entry went at a time when entries lapse without cause.
     """
@@ -91,8 +91,7 @@
         known = self._targets.get(record.id)
         if known is not None and known.record.born_ms > record.born_ms > 0:
             return False
-        first_list = self._confirmed_at is None
-        since = Milliseconds(0) if first_list else now
+        since = now
         if known is not None and known.record.born_ms == record.born_ms:
             since = known.since
         leaving = None
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -34,6 +34,11 @@
 from yuccafold.standins._plain import PlainService
 from yuccafold.standins._plain import PlainSettings
 from yuccafold.standins._plain import body_digest
+from yuccafold.standins._platform_store import PlatformStore
+from yuccafold.standins._platform_store import PlatformStoreSettings
+from yuccafold.standins._platform_target import Mood
+from yuccafold.standins._platform_target import PlatformTarget
+from yuccafold.standins._platform_target import PlatformTargetSettings
 from yuccafold.standins._published import ServiceCall
 from yuccafold.standins._relay import Relay
 from yuccafold.standins._settings_service import SettingsFaults
@@ -65,6 +70,7 @@
     "ListedTarget",
     "ListedVm",
     "Malformed",
+    "Mood",
     "ModelEngine",
     "NO_FAULTS",
     "Order",
@@ -72,6 +78,10 @@
     "PlainRun",
     "PlainService",
     "PlainSettings",
+    "PlatformStore",
+    "PlatformStoreSettings",
+    "PlatformTarget",
+    "PlatformTargetSettings",
     "Priority",
     "Relay",
     "RunState",
--- /dev/null
+++ b/src/yuccafold/standins/_platform_store.py
@@ -0,0 +1,173 @@
+"""The users' metadata store: keys with revisions, lists and watches."""
+
+from __future__ import annotations
+
+import base64
+from dataclasses import dataclass
+from itertools import islice
+from typing import Any
+from typing import final
+
+import trio
+
+from yuccafold.standins._http import BoundAddress
+from yuccafold.standins._http import Exchange
+from yuccafold.standins._http import HttpServer
+from yuccafold.standins._http import ServerSettings
+
+MS_PER_SECOND = 1000
+LONGEST_WAIT_MS = 30_000
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PlatformStoreSettings:
+    """Where the store is served and how many items a page holds."""
+
+    server: ServerSettings = ServerSettings()
+    page_items: int = 500
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class StoredChange:
+    """One write, or one removal if ``value`` is ``None``."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the change in the form of items and events."""
+        if self.value is None:
+            return {"key": self.key, "revision": self.revision, "removed": True}
+        text = base64.b64encode(self.value).decode()
+        return {
+            "key": self.key,
+            "value": text,
+            "revision": self.revision,
+            "create_rev": self.revision,
+            "lease": 0,
+        }
+
+
+@final
+class PlatformStore:
+    """Serves the store's reads; tests write to it by ``put`` and ``remove``.
+
+    ``refuse_with`` answers every call with that status. ``deaf`` keeps watches
+    waiting whatever changes.
+    """
+
+    def __init__(self, settings: PlatformStoreSettings) -> None:
+        self._page_items = settings.page_items
+        self._items: dict[str, StoredChange] = {}
+        self._history: list[StoredChange] = []
+        self._forgotten_up_to = 0
+        self._revision = 1
+        self._changed = trio.Event()
+        self._calls: list[str] = []
+        self._server = HttpServer(settings.server, self._handle)
+        self.refuse_with: int | None = None
+        self.deaf = False
+
+    @property
+    def server(self) -> HttpServer:
+        """The HTTP server: its address, faults and ``crash``."""
+        return self._server
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    @property
+    def calls(self) -> tuple[str, ...]:
+        """The path of every call, the oldest first."""
+        return tuple(self._calls)
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write a key; return its revision."""
+        change = self._change(key, value)
+        self._items[key] = change
+        return change.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        del self._items[key]
+        self._change(key, None)
+
+    def compact(self) -> None:
+        """Forget all history, so that watches must start from a list."""
+        self._history.clear()
+        self._forgotten_up_to = self._revision
+
+    async def serve(
+        self, *, task_status: trio.TaskStatus[BoundAddress] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled or crashed; report the address."""
+        await self._server.serve(task_status=task_status)
+
+    def _change(self, key: str, value: bytes | None) -> StoredChange:
+        self._revision += 1
+        change = StoredChange(key, self._revision, value)
+        self._history.append(change)
+        self._changed.set()
+        self._changed = trio.Event()
+        return change
+
+    async def _handle(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        self._calls.append(path)
+        if self.refuse_with is not None:
+            return await exchange.refuse(self.refuse_with, "refused", "told to refuse")
+        try:
+            if path == "/-/kv-range":
+                return await self._list(exchange)
+            if path == "/-/kv-watch":
+                return await self._watch(exchange)
+        except ValueError as error:
+            return await exchange.refuse(400, "bad-request", str(error))
+        return await exchange.refuse(404, "unknown-path", "expected a read")
+
+    async def _list(self, exchange: Exchange) -> None:
+        prefix = exchange.request.query("prefix") or ""
+        after = exchange.request.query("after") or ""
+        keys = (
+            key for key in sorted(self._items) if key.startswith(prefix) and key > after
+        )
+        page = list(islice(keys, self._page_items + 1))
+        shown = page[: self._page_items]
+        await exchange.respond_json(
+            200,
+            {
+                "items": [self._items[key].as_json() for key in shown],
+                "more_pages": len(page) > len(shown),
+                "as_of": self._revision,
+            },
+        )
+
+    async def _watch(self, exchange: Exchange) -> None:
+        prefix = exchange.request.query("prefix") or ""
+        after = exchange.request.query_number("after", 0)
+        wait_ms = min(LONGEST_WAIT_MS, exchange.request.query_number("wait_ms", 0))
+        if after < self._forgotten_up_to:
+            return await exchange.refuse(410, "compacted", "history is gone")
+        with trio.move_on_after(wait_ms / MS_PER_SECOND):
+            while self.deaf or not self._since(prefix, after):
+                await self._changed.wait()
+        events = [] if self.deaf else self._since(prefix, after)
+        return await exchange.respond_json(
+            200,
+            {
+                "events": [change.as_json() for change in events],
+                "as_of": after if self.deaf else self._revision,
+            },
+        )
+
+    def _since(self, prefix: str, after: int) -> list[StoredChange]:
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
--- /dev/null
+++ b/testing/edge/builders.py
@@ -0,0 +1,142 @@
+"""Small values for tests of the edge router."""
+
+from __future__ import annotations
+
+import json
+
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import AccountId
+from yuccafold._ids import ServiceId
+from yuccafold._ids import TargetId
+from yuccafold._ids import VmId
+from yuccafold._ids import ZoneId
+from yuccafold.edge import Account
+from yuccafold.edge import Catalogue
+from yuccafold.edge import EdgeSettings
+from yuccafold.edge import PartId
+from yuccafold.edge import PromptPart
+from yuccafold.edge import Repeatability
+from yuccafold.edge import Route
+from yuccafold.edge import RouteName
+from yuccafold.edge import ServiceSpec
+from yuccafold.edge import SocketAddress
+from yuccafold.edge import TargetRecord
+from yuccafold.edge import TargetState
+from yuccafold.edge import index_routes
+
+DESK = ServiceId("desk")
+ENGINES = ServiceId("engines")
+ZONE = ZoneId("a")
+KEY = "key-1"
+
+
+def edge_settings(**changes):
+    values = {
+        "vm": VmId("vm-1"),
+        "zone": ZONE,
+        "callers": SocketAddress("127.0.0.1", 0),
+        "readiness": SocketAddress("127.0.0.1", 0),
+        "platform": SocketAddress("127.0.0.1", 1),
+        "key_lifetime": Milliseconds(5_000),
+        "fails_closed": True,
+        "apply_within": Milliseconds(2_000),
+        "drain_within": Milliseconds(2_000),
+        "grace_period": Milliseconds(8_000),
+        "retry_ratio": 0.2,
+        "retry_slack": 56.0,
+        "load_multiple": 2.0,
+    }
+    return EdgeSettings(**(values | changes))
+
+
+def route(prefix="/desk/", service=DESK, repeatability=Repeatability.ONCE, **changes):
+    values = {
+        "name": RouteName(f"r{prefix}"),
+        "host": "fleet.example",
+        "prefix": prefix,
+        "services": ((service, 1.0),),
+        "repeatability": repeatability,
+        "streams": False,
+        "timeout": Milliseconds(5_000),
+        "latency_objective": Milliseconds(200),
+        "event_gap_objective": Milliseconds(400),
+        "priority": 1,
+        "max_attempts": 2,
+        "public": False,
+    }
+    return Route(**(values | changes))
+
+
+def catalogue(*routes, version=1, accounts=None):
+    found = routes or (route(),)
+    return Catalogue(
+        version=version,
+        routes=found,
+        services={DESK: ServiceSpec(DESK, "/health", 100)},
+        accounts={KEY: Account(AccountId("acme"))} if accounts is None else accounts,
+        by_host=index_routes(found),
+    )
+
+
+def target(name="t1", service=DESK, **changes):
+    values = {
+        "id": TargetId(name),
+        "service": service,
+        "address": f"10.0.0.1:{int(name[1:]) + 8000}",
+        "zone": ZONE,
+        "slots": 6,
+        "state": TargetState.READY,
+        "born_ms": 1_000,
+    }
+    return TargetRecord(**(values | changes))
+
+
+def prompt(*parts):
+    return tuple(PromptPart(PartId(id), tokens) for id, tokens in parts)
+
+
+def wire_route(prefix, kind, service="desk", **changes):
+    values = {
+        "name": f"r{prefix}",
+        "host": "fleet.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 5_000,
+        "target_latency_ms": 200,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+    }
+    return values | changes
+
+
+def wire_config(*routes, version=1, keys=(KEY,)):
+    """Return a configuration in the platform's form."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": list(routes),
+            "services": [
+                {"name": "desk", "health_path": "/health", "max_connections": 100}
+            ],
+            "limits": {"max_body_bytes": 4_096, "idle_timeout_ms": 15_000},
+            "tenants": [{"name": "acme", "api_keys": list(keys), "priority": 1}],
+        }
+    ).encode()
+
+
+def wire_target(address, service="desk", state="ready", **changes):
+    """Return a target's entry in the platform's form."""
+    values = {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1_000,
+    }
+    return json.dumps(values | changes).encode()
--- /dev/null
+++ b/testing/edge/test_placement.py
@@ -0,0 +1,156 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from edge.builders import ENGINES
+from edge.builders import prompt
+from edge.builders import target
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import TargetId
+from yuccafold._ids import ZoneId
+from yuccafold.edge import TargetLoad
+from yuccafold.edge._placement import HolderMemory
+from yuccafold.edge._placement import LoadTable
+from yuccafold.edge._placement import PlainPlacement
+from yuccafold.edge._placement import PromptPlacement
+from yuccafold.edge._view import KnownTarget
+
+NOW = Milliseconds(100_000)
+SHARED = prompt(("system", 500), ("book", 10_000), ("own", 1_300))
+
+
+def engines(count, born_ms=1_000, since=0):
+    return [
+        KnownTarget(
+            target(f"t{n}", ENGINES, born_ms=born_ms, address=f"10.0.0.{n}:1"),
+            Milliseconds(since),
+        )
+        for n in range(count)
+    ]
+
+
+def placement(loads=None, holders=None):
+    return PromptPlacement(loads or LoadTable(), holders or HolderMemory(), 2.0)
+
+
+def place(placing, known, parts=SHARED, present=None):
+    return placing.choose(parts, known, known if present is None else present, NOW)
+
+
+def test_all_vms_place_a_shared_prompt_alike():
+    known = engines(9)
+    shuffled = list(reversed(known))
+    first = place(placement(), known).target.record.id
+    assert place(placement(), shuffled).target.record.id == first
+
+
+def test_prompts_spread_over_targets():
+    known = engines(9)
+    places = Counter(
+        place(placement(), known, prompt((f"p{n}", 900), ("own", 9))).target.record.id
+        for n in range(300)
+    )
+    assert len(places) == 9
+    assert max(places.values()) < 2 * 300 / 9
+
+
+def test_hot_prompt_spills_before_the_load_bound_and_is_fetched():
+    known = engines(9)
+    loads, holders = LoadTable(), HolderMemory()
+    placing = placement(loads, holders)
+    held = Counter()
+    for _ in range(60):
+        found = place(placing, known)
+        held[found.target.record.id] += 1
+        loads.start(found.target.record.id)
+        if len(held) > 1 and held[found.target.record.id] == 1:
+            assert found.fetch_from is not None
+        holders.note(SHARED, found.target.record.id, NOW)
+    assert max(held.values()) <= 2 * (60 / 9) + 3
+
+
+def test_reported_load_counts_calls_of_other_vms():
+    known = engines(4)
+    loads = LoadTable()
+    first = place(placement(loads), known).target.record.id
+    loads.report(first, TargetLoad(running=30, waiting=4, slots=64), NOW)
+    assert place(placement(loads), known).target.record.id != first
+
+
+def test_old_report_is_not_believed():
+    known = engines(4)
+    loads = LoadTable()
+    first = place(placement(loads), known).target.record.id
+    loads.report(first, TargetLoad(30, 4, 64), Milliseconds(NOW - 5_000))
+    assert place(placement(loads), known).target.record.id == first
+
+
+def test_new_targets_take_no_prompts_that_others_hold():
+    old = engines(5)
+    new = KnownTarget(
+        target("t9", ENGINES, born_ms=90_000, address="10.0.0.9:1"),
+        Milliseconds(NOW - 5_000),
+    )
+    for n in range(100):
+        parts = prompt((f"p{n}", 900), ("own", 9))
+        before = place(placement(), old, parts).target.record.id
+        assert place(placement(), [*old, new], parts).target.record.id == before
+
+
+def test_prompt_of_a_leaving_target_is_fetched_from_it():
+    known = engines(5)
+    first = place(placement(), known).target
+    rest = [other for other in known if other is not first]
+    found = place(placement(), rest, present=known)
+    assert found.fetch_from is first
+
+
+def test_longest_known_prefix_is_fetched():
+    known = engines(3)
+    holders = HolderMemory()
+    parts = prompt(("system", 500), ("book", 10_000), ("own", 9))
+    target_id = place(placement(), known, parts).target.record.id
+    others = [other.record.id for other in known if other.record.id != target_id]
+    holders.note(parts[:1], others[0], NOW)
+    holders.note(parts[:2], others[1], NOW)
+    found = place(placement(holders=holders), known, parts)
+    assert found.fetch_from.record.id == others[1]
+
+
+def test_target_that_holds_the_prompt_fetches_nothing():
+    known = engines(3)
+    holders = HolderMemory()
+    target_id = place(placement(), known).target.record.id
+    for other in known:
+        holders.note(SHARED, other.record.id, NOW)
+    assert place(placement(holders=holders), known).fetch_from is None
+    holders.forget_target(target_id)
+    assert place(placement(holders=holders), known).fetch_from is not None
+
+
+def test_part_counts_only_behind_the_parts_before_it():
+    holders = HolderMemory()
+    holders.note(prompt(("book", 10_000)), TargetId("t1"), NOW)
+    assert holders.held_tokens(SHARED[:2], NOW) == {}
+
+
+@pytest.mark.parametrize("parts", [(), prompt(("own", 700))], ids=["none", "own-only"])
+def test_prompts_without_shared_parts_are_placed(parts):
+    assert place(placement(), engines(3), parts) is not None
+
+
+def test_plain_calls_stay_in_the_zone_while_it_keeps_up():
+    near = KnownTarget(target("t1"), Milliseconds(0))
+    far = KnownTarget(target("t2", zone=ZoneId("b")), Milliseconds(0))
+    loads = LoadTable()
+    placing = PlainPlacement(loads, ZoneId("a"), random.Random(1))
+    chosen = []
+    for _ in range(6):
+        found = placing.choose([near, far], NOW).target.record.id
+        loads.start(found)
+        chosen.append(found)
+    assert chosen[:2] == ["t1", "t1"]
+    assert Counter(chosen) == {"t1": 4, "t2": 2}
--- /dev/null
+++ b/testing/edge/test_relay.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import pytest
+
+from yuccafold.edge._exchange import AttemptFailedError
+from yuccafold.edge._relay import EventCursor
+
+
+def event(number):
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+def test_only_whole_events_pass():
+    cursor = EventCursor()
+    data = event(1) + event(2)
+    cut = len(data) - 3
+    assert cursor.feed(data[:cut]) == event(1)
+    assert cursor.has_partial
+    assert cursor.feed(data[cut:]) == event(2)
+    assert cursor.last_id == 2
+
+
+@pytest.mark.parametrize("cut", range(len(event(1) + event(2))))
+def test_stream_goes_on_wherever_it_was_cut(cut):
+    cursor = EventCursor()
+    out = cursor.feed((event(1) + event(2))[:cut])
+    cursor.restart()
+    first = (cursor.last_id or 0) + 1
+    out += cursor.feed(b"".join(event(n) for n in range(first, 4)))
+    assert out == event(1) + event(2) + event(3)
+
+
+def test_events_that_the_caller_has_are_dropped():
+    cursor = EventCursor()
+    cursor.feed(event(1) + event(2))
+    cursor.restart()
+    assert cursor.feed(event(1) + event(2) + event(3)) == event(3)
+
+
+def test_missing_event_ends_the_attempt():
+    cursor = EventCursor()
+    cursor.feed(event(1))
+    cursor.restart()
+    with pytest.raises(AttemptFailedError, match="expected event 2, got 3"):
+        cursor.feed(event(3))
+
+
+def test_event_with_its_weight_version_first_keeps_its_id():
+    cursor = EventCursor()
+    data = b"x-weight-versions: 7\nid: 1\ndata: token\n\n"
+    assert cursor.feed(data) == data
+    assert cursor.last_id == 1
