Spill by our own count and by reports, and only near the load bound

Two failures in a few calls also made a VM avoid a target that held prompts.

Change: a target is full if our own calls exceed one and a half of our mean plus two, or its report exceeds the users' bound over the mean of reports. New targets take their share at once and fetch it. Targets with prompts are avoided after three failures and more failed than good calls. Answers that begin while the process stops carry Connection: close.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -134,11 +134,11 @@
         status = error.error_status_hint
         log_event("request_malformed", status=status, error=str(error))
         refusal = Refusal(status, "malformed", str(error), Verdict.NOT_RUN)
-        await EdgeResponder(self._http, closing=True).refuse(refusal)
+        await EdgeResponder(self._http, lambda: True).refuse(refusal)
 
     async def _serve(self, request: h11.Request) -> bool:
         """Read the body, decide, forward; return whether another call may follow."""
-        responder = EdgeResponder(self._http, self._state.draining)
+        responder = EdgeResponder(self._http, lambda: self._state.draining)
         headers: Headers = tuple(request.headers)
         refusal = self._check_head(request, headers)
         if refusal is not None:
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -160,7 +160,7 @@
                 outcome = Outcome.FAILED
             raise
         finally:
-            self._targets.finish(target, outcome, self._clock.now())
+            self._targets.finish(call, target, outcome, self._clock.now())
             with trio.CancelScope(shield=True):
                 await exchange.close()
 
@@ -216,6 +216,7 @@
             service=call.service,
             target=placement.target.record.id,
             reason=placement.reason,
+            prompt=call.head.shared_parts[-1].id if call.head.shared_parts else None,
             fetch=None if source is None else source.record.id,
             reused=reused,
             version=call.admitted.catalogue.version,
--- a/src/yuccafold/edge/_health.py
+++ b/src/yuccafold/edge/_health.py
@@ -11,15 +11,9 @@
 from yuccafold._ids import TargetId
 from yuccafold.edge._view import KnownTarget
 
-SCORE_HALF_LIFE = Milliseconds(2_000)
+SCORE_HALF_LIFE = Milliseconds(3_000)
 """How fast old outcomes lose weight; troubles of targets last a few seconds."""
 
-FAILURES_TO_AVOID = 1.6
-"""Weighted failures in a row of outcomes after which a target may be sick."""
-
-SICK_SHARE = 0.25
-"""Share of failed calls above which a target is sick."""
-
 SICK_MULTIPLE = 2.0
 """A sick target fails this many times as often as its service."""
 
@@ -39,6 +33,23 @@
 """Share of a service that may be avoided; beyond it the rest would drown."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class SickLimits:
+    """How many weighted failures, and which share of calls, make a target sick."""
+
+    failures: float
+    share: float
+
+
+PLAIN_LIMITS = SickLimits(1.6, 0.25)
+"""Any target does for a plain call, so two failures in a row are enough."""
+
+PROMPT_LIMITS = SickLimits(2.6, 0.5)
+"""Avoiding a target that holds prompts makes others read them: three failures,
+and more failed than good, are worth that."""
+
+
 class Outcome(Enum):
     """How one call ended at a target, as far as the target is to blame."""
 
@@ -93,6 +104,7 @@
         outcome: Outcome,
         peers: Sequence[TargetId],
         now: Milliseconds,
+        limits: SickLimits = PLAIN_LIMITS,
     ) -> bool:
         """Record how a call ended; return whether the target is avoided from now.
 
@@ -116,7 +128,7 @@
         score.unreachable = outcome is Outcome.UNREACHABLE
         if outcome is Outcome.UNREACHABLE or score.on_trial:
             return self._avoid(score, now)
-        if self._is_sick(score, peers, now):
+        if self._is_sick(score, peers, now, limits):
             return self._avoid(score, now)
         return False
 
@@ -165,9 +177,13 @@
         return harmless or now >= score.avoided_until + ONCE_TRIAL_DELAY
 
     def _is_sick(
-        self, score: TargetScore, peers: Sequence[TargetId], now: Milliseconds
+        self,
+        score: TargetScore,
+        peers: Sequence[TargetId],
+        now: Milliseconds,
+        limits: SickLimits,
     ) -> bool:
-        if score.failed < FAILURES_TO_AVOID or score.failed_share < SICK_SHARE:
+        if score.failed < limits.failures or score.failed_share < limits.share:
             return False
         scores = [self._scores[peer] for peer in peers if peer in self._scores]
         for other in scores:
--- a/src/yuccafold/edge/_pages.py
+++ b/src/yuccafold/edge/_pages.py
@@ -50,7 +50,7 @@
         while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
             event = await http.next_event()
         status, text = self._page()
-        await EdgeResponder(http, closing=False).answer(status, TEXT, text.encode())
+        await EdgeResponder(http, lambda: False).answer(status, TEXT, text.encode())
         if http.http.our_state is h11.DONE and http.http.their_state is h11.DONE:
             http.http.start_next_cycle()
             return True
--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -22,20 +22,30 @@
 from yuccafold.edge._model import TargetLoad
 from yuccafold.edge._view import KnownTarget
 
-LOAD_REPORT_LIFETIME = Milliseconds(1_500)
-"""After this a target's word on its load says less than our own count."""
+LOAD_REPORT_LIFETIME = Milliseconds(2_000)
+"""How long a target's word on its load counts: generations last one to four seconds."""
 
 BOUND_SLACK = 3.0
 """Calls that a target may hold above the multiple of the mean, by the users' rule."""
 
+REPORT_MARGIN = 2.0
+"""Calls that may be on their way from other VMs since a target's report."""
+
+OWN_MULTIPLE = 1.5
+"""How far above our own mean a target may be: half of the users' multiple is left
+for what other VMs do by chance."""
+
+OWN_SLACK = 2.0
+"""Calls of ours that a target may have above that: fewer would spill by chance."""
+
 HOLDER_MEMORY_PARTS = 4_096
 """Prompt parts whose last holder is remembered; a few hundred are in use at once."""
 
 HOLDER_LIFETIME = Milliseconds(60_000)
 """How long a part is taken to stay in the memory of the target that read it."""
 
-NEW_TARGET = Milliseconds(60_000)
-"""How long a new target takes no prompts of others: chats pause for about as long."""
+NEW_TARGET = Milliseconds(20_000)
+"""How long after a target came the older ones are taken to hold its prompts."""
 
 SAME_GENERATION = Milliseconds(10_000)
 """Targets started within this of the oldest one are none of them new."""
@@ -104,15 +114,14 @@
         load = self._loads.get(target)
         return 0 if load is None else load.in_flight
 
-    def estimate(self, target: TargetId, now: Milliseconds) -> float:
-        """Return how many calls of all VMs the target probably has."""
+    def reported(self, target: TargetId, now: Milliseconds) -> int | None:
+        """Return a target's own recent word on its load, and our calls since then."""
         load = self._loads.get(target)
-        if load is None:
-            return 0.0
-        if load.reported_at is None or now - load.reported_at > LOAD_REPORT_LIFETIME:
-            return float(load.in_flight)
-        since = load.in_flight - load.own_at_report
-        return float(max(load.in_flight, load.reported + since))
+        if load is None or load.reported_at is None:
+            return None
+        if now - load.reported_at > LOAD_REPORT_LIFETIME:
+            return None
+        return max(load.in_flight, load.reported + load.in_flight - load.own_at_report)
 
 
 @final
@@ -176,8 +185,8 @@
 
     Answers two loads. Where a few prompts get much of the traffic, the target
     that ranks first holds the prompt; once it is near the bound the next one
-    fetches the prompt from it. Where targets are added or replaced, prompts
-    stay with those that hold them, and the new ones take what spills over.
+    fetches the prompt from it. Where targets are added or replaced, the new
+    ones take their share of prompts at once and fetch them from the old ones.
     """
 
     def __init__(
@@ -199,9 +208,11 @@
             return None
         shared = parts[:-1] or parts
         if not shared:
-            least = min(usable, key=lambda known: self._load(known, now))
+            least = min(
+                usable, key=lambda known: self._loads.in_flight(known.record.id)
+            )
             return Placement(least, "least-loaded")
-        ranked = _established_first(rank(shared[-1].id, usable), now)
+        ranked = rank(shared[-1].id, usable)
         target = self._within_bound(ranked, now)
         reason = "first-ranked" if target is ranked[0] else "spilled"
         source = self._source(shared, target, present, now)
@@ -210,20 +221,22 @@
     def _within_bound(
         self, ranked: Sequence[KnownTarget], now: Milliseconds
     ) -> KnownTarget:
-        """Return the first in rank whose load stays below the bound."""
-        loads = [self._load(known, now) for known in ranked]
-        mean = (sum(loads) + 1) / len(loads)
-        # The bound holds for loads that arrive late; stay a half below it.
-        bound = (1 + (self._multiple - 1) / 2) * mean + BOUND_SLACK - 1
-        within = (
-            known
-            for known, load in zip(ranked, loads, strict=True)
-            if load + 1 <= bound
-        )
-        return next(within, ranked[loads.index(min(loads))])
-
-    def _load(self, known: KnownTarget, now: Milliseconds) -> float:
-        return self._loads.estimate(known.record.id, now)
+        """Return the first in rank that is below both bounds, else the least loaded.
+
+        Our own calls are known at once and keep each VM's share even. What
+        targets report includes the calls of all VMs, but comes late.
+        """
+        names = [known.record.id for known in ranked]
+        own = [self._loads.in_flight(name) for name in names]
+        reports = [self._loads.reported(name, now) for name in names]
+        told = [report for report in reports if report is not None]
+        own_bound = OWN_MULTIPLE * (sum(own) + 1) / len(own) + OWN_SLACK
+        bound = self._multiple * sum(told) / max(1, len(told)) + BOUND_SLACK
+        for known, mine, report in zip(ranked, own, reports, strict=True):
+            is_full = report is not None and report + REPORT_MARGIN > bound
+            if mine <= own_bound and not is_full:
+                return known
+        return ranked[own.index(min(own))]
 
     def _source(
         self,
@@ -238,20 +251,22 @@
         """
         held = self._holders.held_tokens(shared, now)
         own = held.get(target.record.id, 0)
-        if own == sum(part.tokens for part in shared):
+        whole = sum(part.tokens for part in shared)
+        if own == whole:
             return None
         others = [known for known in present if known is not target]
         best = max(others, key=lambda known: held.get(known.record.id, 0), default=None)
-        if best is not None and held.get(best.record.id, 0) > own:
-            return best
-        ranked = _established_first(rank(shared[-1].id, present), now)
-        return None if not ranked or ranked[0] is target else ranked[0]
+        known_tokens = 0 if best is None else held.get(best.record.id, 0)
+        if known_tokens < whole:
+            # Other VMs send this prompt to the first in rank, unknown to us.
+            ranked = _old_first(rank(shared[-1].id, present), now)
+            if ranked and ranked[0] is not target:
+                return ranked[0]
+        return best if known_tokens > own else None
 
 
-def _established_first(
-    ranked: Sequence[KnownTarget], now: Milliseconds
-) -> list[KnownTarget]:
-    """Return ``ranked`` with targets behind that came long after the oldest one."""
+def _old_first(ranked: Sequence[KnownTarget], now: Milliseconds) -> list[KnownTarget]:
+    """Return ``ranked`` with those behind that came lately, after the oldest one."""
     oldest = min((known.record.born_ms for known in ranked), default=0)
     return sorted(
         ranked,
--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import final
 
 import h11
@@ -23,13 +24,13 @@
 class EdgeResponder:
     """The answer of one call on the caller's connection.
 
-    ``is_draining`` is asked when the head goes out, so that callers leave a
-    process that is about to stop.
+    ``is_last`` is asked when the head goes out, so that callers leave a process
+    that began to stop meanwhile.
     """
 
-    def __init__(self, http: HttpStream, closing: bool) -> None:
+    def __init__(self, http: HttpStream, is_last: Callable[[], bool]) -> None:
         self._http = http
-        self._closing = closing
+        self._is_last = is_last
         self._status = 0
         self._head = b""
         self._whole = False
@@ -54,7 +55,7 @@
         self._status = status
         response = h11.Response(
             status_code=status,
-            headers=headers + (CLOSE if self._closing else ()),
+            headers=headers + (CLOSE if self._is_last() else ()),
             reason=REASONS.get(status, b""),
         )
         self._head = self._http.encode(response)
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -84,6 +84,11 @@
         """Whether the process is about to stop."""
         return self._draining.is_set()
 
+    @property
+    def ready(self) -> bool:
+        """Whether new calls would be taken."""
+        return not self.draining and self._gate.is_ready(self._clock.now())
+
     @property
     def limits(self) -> CallerLimits:
         """What callers may send by the catalogue in force."""
@@ -176,8 +181,7 @@
             self._callers.discard(caller)
 
     def _readiness(self) -> tuple[int, str]:
-        ready = not self.draining and self._gate.is_ready(self._clock.now())
-        return (200, "ready\n") if ready else (503, "not ready\n")
+        return (200, "ready\n") if self.ready else (503, "not ready\n")
 
     def _metrics_page(self) -> tuple[int, str]:
         targets, leaving = self._view.counts()
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -10,6 +10,8 @@
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
 from yuccafold.edge._call import Call
+from yuccafold.edge._health import PLAIN_LIMITS
+from yuccafold.edge._health import PROMPT_LIMITS
 from yuccafold.edge._health import Outcome
 from yuccafold.edge._health import TargetHealth
 from yuccafold.edge._model import Repeatability
@@ -66,11 +68,14 @@
         self._loads.start(target)
         self._health.start(target)
 
-    def finish(self, target: TargetRecord, outcome: Outcome, now: Milliseconds) -> None:
+    def finish(
+        self, call: Call, target: TargetRecord, outcome: Outcome, now: Milliseconds
+    ) -> None:
         """Count the end of a call and judge the target by it."""
         self._loads.finish(target.id)
         peers = [known.record.id for known in self._view.present(target.service)]
-        if self._health.note(target.id, outcome, peers, now):
+        limits = PROMPT_LIMITS if call.head.prompt else PLAIN_LIMITS
+        if self._health.note(target.id, outcome, peers, now, limits):
             log_event("target_avoided", target=target.id, service=target.service)
 
     def note_prompt(self, call: Call, target: TargetId, now: Milliseconds) -> None:
--- /dev/null
+++ b/testing/edge/test_router.py
@@ -0,0 +1,379 @@
+from __future__ import annotations
+
+import json
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from edge.builders import KEY
+from edge.builders import edge_settings
+from edge.builders import wire_config
+from edge.builders import wire_route
+from edge.builders import wire_target
+from support.loopback import on_trio
+from support.loopback import read_to_end
+from support.loopback import serving
+from yuccafold._clock import Milliseconds
+from yuccafold._clock import MonotonicClock
+from yuccafold.edge import EdgeRouter
+from yuccafold.edge import SocketAddress
+from yuccafold.platform import HeaderTranslator
+from yuccafold.platform import StoreSource
+from yuccafold.standins import Faults
+from yuccafold.standins import Mood
+from yuccafold.standins import PlatformStore
+from yuccafold.standins import PlatformStoreSettings
+from yuccafold.standins import PlatformTarget
+from yuccafold.standins import PlatformTargetSettings
+
+ROUTES = (
+    wire_route("/look/", "safe"),
+    wire_route("/book/", "unsafe", max_attempts=1),
+    wire_route("/chat/", "streaming", resumable=True),
+    wire_route("/chat/once/", "streaming", resumable=False),
+    wire_route("/short/", "unsafe", timeout_ms=150),
+)
+
+
+class Edge:
+    """One edge router before a store and targets, all on loopback."""
+
+    def __init__(self, store, targets, router):
+        self.store = store
+        self.targets = targets
+        self.router = router
+        self.address = ""
+        self._attempts = 0
+
+    async def send(self, method, path, body=b"", *headers, key=KEY):
+        """Send one call on a connection of its own; return the connection."""
+        self._attempts += 1
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: fleet.example",
+            f"X-Attempt-Id: a{self._attempts}",
+            f"Content-Length: {len(body)}",
+            *([f"X-Key: {key}"] if key else []),
+            *headers,
+        ]
+        host, _, port = self.address.partition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all("\r\n".join([*lines, "", ""]).encode() + body)
+        return stream
+
+    async def call(self, method, path, body=b"", *headers, key=KEY):
+        """Make one call; return status, headers as text and the raw body."""
+        stream = await self.send(
+            method, path, body, *headers, "Connection: close", key=key
+        )
+        async with stream:
+            raw = await read_to_end(stream)
+        head, _, rest = raw.partition(b"\r\n\r\n")
+        return int(head.split()[1]), head.decode(), rest
+
+    @property
+    def runs(self):
+        return [run for target in self.targets for run in target.runs]
+
+
+@asynccontextmanager
+async def edge(*targets, settings=None, routes=ROUTES):
+    store = PlatformStore(PlatformStoreSettings())
+    async with serving(store, *targets) as nursery:
+        store.put("op/config", wire_config(*routes))
+        for target in targets:
+            store.put(f"servers/{target.id}", wire_target(target.server.address))
+        address = SocketAddress.parse(store.server.address)
+        values = {"platform": address, "key_lifetime": Milliseconds(1_000)}
+        router = EdgeRouter(
+            edge_settings(**(values | (settings or {}))),
+            StoreSource(address),
+            HeaderTranslator(),
+            MonotonicClock(),
+            random.Random(1),
+        )
+        found = Edge(store, targets, router)
+        found.address = await nursery.start(router.run)
+        while not router.ready:
+            await trio.sleep(0.005)
+        yield found
+
+
+def target(name="t1", **changes):
+    return PlatformTarget(PlatformTargetSettings(name, **changes))
+
+
+@on_trio
+async def test_call_gets_its_own_whole_answer():
+    async with edge(target()) as found:
+        status, head, body = await found.call("POST", "/book/a", b"two places")
+        assert status == 200
+        assert "signed-t1" in head
+        assert body == b"two places"
+        (sent,) = found.targets[0].received
+        assert sent.header("x-tenant") == "acme"
+        assert sent.header("x-key") is None
+
+
+@on_trio
+async def test_stream_passes_whole():
+    async with edge(target()) as found:
+        status, _, body = await found.call("POST", "/chat/a", b"hello")
+        assert status == 200
+        assert [body.count(b"token %d" % n) for n in range(1, 5)] == [1] * 4
+        assert body.endswith(b"0\r\n\r\n")
+
+
+@on_trio
+async def test_kept_connection_serves_many_calls():
+    async with edge(target()) as found:
+        stream = await found.send("GET", "/look/a")
+        async with stream:
+            for _ in range(3):
+                data = b""
+                while not data.endswith(b"found"):
+                    data += await stream.receive_some()
+                await stream.send_all(
+                    b"GET /look/a HTTP/1.1\r\nHost: fleet.example\r\n"
+                    b"X-Attempt-Id: again\r\nX-Key: key-1\r\n\r\n"
+                )
+        assert found.targets[0].server.connections == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        pytest.param("/nowhere/", KEY, 404, id="no-route"),
+        pytest.param("/look/a", "wrong", 401, id="unknown-key"),
+        pytest.param("/look/a", None, 401, id="no-key"),
+    ],
+)
+def test_unknown_route_or_key_is_refused(path, key, status):
+    @on_trio
+    async def run():
+        async with edge(target()) as found:
+            assert (await found.call("GET", path, key=key))[0] == status
+            assert found.runs == []
+
+    run()
+
+
+@on_trio
+async def test_body_over_the_limit_is_refused():
+    async with edge(target()) as found:
+        status, _, _ = await found.call("POST", "/book/a", b"x" * 5_000)
+        assert status == 413
+        assert found.runs == []
+
+
+@on_trio
+async def test_lookup_that_failed_is_tried_at_another_target():
+    async with edge(target("t1"), target("t2")) as found:
+        found.targets[0].mood = Mood.FAILING
+        answers = [await found.call("GET", "/look/a") for _ in range(6)]
+        assert [status for status, _, _ in answers] == [200] * 6
+
+
+@on_trio
+async def test_lookup_that_fails_everywhere_gets_the_targets_own_answer():
+    async with edge(target("t1"), target("t2")) as found:
+        for each in found.targets:
+            each.mood = Mood.FAILING
+        status, head, body = await found.call("GET", "/look/a")
+        assert (status, body) == (500, b"failed")
+        assert "signed-t" in head
+
+
+@on_trio
+async def test_full_target_makes_a_refusal_that_is_true():
+    async with edge(target()) as found:
+        found.targets[0].mood = Mood.FULL
+        status, head, _ = await found.call("POST", "/book/a", b"x")
+        assert status == 503
+        assert "Retry-After" in head
+        assert found.runs == []
+
+
+@pytest.mark.parametrize(
+    "mood", [Mood.UNSIGNED, Mood.FOREIGN], ids=["unsigned", "foreign"]
+)
+def test_answer_that_is_not_the_calls_own_never_passes(mood):
+    @on_trio
+    async def run():
+        async with edge(target(), settings={}) as found:
+            found.targets[0].mood = mood
+            status, _, _ = await found.call("POST", "/short/a", b"x")
+            assert status in (502, 504)
+            assert len(found.runs) == 1
+
+    run()
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param(Faults(close_at_response_byte=20, reset=True), id="reset"),
+        pytest.param(Faults(truncated=True), id="cut"),
+    ],
+)
+def test_call_that_may_have_run_is_not_sent_again(faults):
+    @on_trio
+    async def run():
+        async with edge(target("t1"), target("t2")) as found:
+            for each in found.targets:
+                each.server.set_faults(faults)
+            status, _, _ = await found.call("POST", "/book/a", b"x")
+            assert status == 502
+            assert len(found.runs) == 1
+
+    run()
+
+
+@on_trio
+async def test_answer_sent_twice_reaches_nobody_else():
+    async with edge(target()) as found:
+        found.targets[0].server.set_faults(Faults(answer_twice=True))
+        for number in range(5):
+            body = b"booking %d" % number
+            assert (await found.call("POST", "/book/a", body))[2] == body
+
+
+@on_trio
+async def test_target_that_is_gone_is_passed_over():
+    async with edge(target("t1"), target("t2")) as found:
+        found.targets[0].server.crash()
+        statuses = [(await found.call("POST", "/book/a", b"x"))[0] for _ in range(6)]
+        assert statuses == [200] * 6
+
+
+@on_trio
+async def test_broken_stream_goes_on_at_another_target():
+    targets = (target("t1", events=6), target("t2", events=6))
+    async with edge(*targets) as found:
+        for each in targets:
+            each.mood = Mood.BREAKING
+        stream = await found.send("POST", "/chat/a", b"x", "Connection: close")
+        async with stream:
+            data = b""
+            while b"token 1" not in data:
+                data += await stream.receive_some()
+            for each in targets:
+                each.mood = Mood.WELL
+            data += await read_to_end(stream)
+        assert [data.count(b"token %d\n" % n) for n in range(1, 7)] == [1] * 6
+        assert data.endswith(b"0\r\n\r\n")
+
+
+@on_trio
+async def test_broken_stream_that_cannot_resume_never_looks_whole():
+    async with edge(target()) as found:
+        found.targets[0].mood = Mood.BREAKING
+        status, _, body = await found.call("POST", "/chat/once/a", b"x")
+        assert status == 200
+        assert not body.endswith(b"0\r\n\r\n")
+        assert len(found.runs) == 1
+
+
+@on_trio
+async def test_call_is_answered_when_its_route_stops_waiting():
+    async with edge(target(work_ms=2_000)) as found:
+        started = trio.current_time()
+        status, _, _ = await found.call("POST", "/short/a", b"x")
+        assert status == 504
+        assert trio.current_time() - started < 1
+
+
+@on_trio
+async def test_time_left_is_told_to_the_target():
+    async with edge(target()) as found:
+        await found.call("POST", "/book/a", b"x", "X-Deadline-Ms: 700")
+        (sent,) = found.targets[0].received
+        assert 0 < int(sent.header("x-deadline-ms")) <= 700
+
+
+@on_trio
+async def test_target_is_released_when_the_caller_leaves():
+    async with edge(target(work_ms=5_000)) as found:
+        stream = await found.send("GET", "/look/a")
+        while not found.runs:
+            await trio.sleep(0.005)
+        await stream.aclose()
+        with trio.fail_after(2):
+            while not found.targets[0].abandoned:
+                await trio.sleep(0.005)
+
+
+@on_trio
+async def test_keys_stop_when_the_store_is_silent_and_come_back_with_it():
+    async with edge(target()) as found:
+        found.store.server.set_faults(Faults(silent=True))
+        found.store.put("noise", b"1")
+        with trio.fail_after(10):
+            while found.router.ready:
+                await trio.sleep(0.02)
+        status, head, _ = await found.call("GET", "/look/a")
+        assert status == 503
+        assert "Retry-After" in head
+        found.store.server.set_faults(Faults())
+        with trio.fail_after(10):
+            while not found.router.ready:
+                await trio.sleep(0.02)
+        assert (await found.call("GET", "/look/a"))[0] == 200
+
+
+@on_trio
+async def test_key_taken_away_stops_at_once():
+    async with edge(target()) as found:
+        found.store.put("op/config", wire_config(*ROUTES, version=2, keys=("other",)))
+        with trio.fail_after(2):
+            while (await found.call("GET", "/look/a"))[0] != 401:
+                await trio.sleep(0.005)
+        assert (await found.call("GET", "/look/a", key="other"))[0] == 200
+
+
+@on_trio
+async def test_draining_target_gets_no_call():
+    async with edge(target("t1"), target("t2")) as found:
+        gone, _ = found.targets
+        entry = wire_target(gone.server.address, state="draining")
+        found.store.put("servers/t1", entry)
+        await trio.sleep(0.1)
+        before = len(gone.runs)
+        for _ in range(8):
+            assert (await found.call("GET", "/look/a"))[0] == 200
+        assert len(gone.runs) == before
+
+
+@on_trio
+async def test_address_of_another_target_runs_nothing():
+    async with edge(target("t1"), target("t2")) as found:
+        taken = found.targets[1]
+        found.store.put("servers/t1", wire_target(taken.server.address, born=2_000))
+        await trio.sleep(0.1)
+        answers = [await found.call("POST", "/book/a", b"x") for _ in range(6)]
+        assert {status for status, _, _ in answers} == {200}
+        assert len(found.runs) == 6
+
+
+@on_trio
+async def test_stop_ends_no_running_call_and_takes_none_after_notice():
+    async with edge(target(work_ms=600)) as found:
+        stream = await found.send("POST", "/book/a", b"x")
+        while not found.runs:
+            await trio.sleep(0.005)
+        found.router.drain()
+        assert not found.router.ready
+        async with stream:
+            data = await read_to_end(stream)
+        assert data.endswith(b"x")
+        assert (await found.call("POST", "/book/b", b"y"))[0] == 200
+
+
+@on_trio
+async def test_refusal_says_in_json_what_happened():
+    async with edge() as found:
+        status, _, body = await found.call("GET", "/look/a")
+        assert status == 503
+        assert json.loads(body)["error"] == "no_target"
--- /dev/null
+++ b/testing/platform/test_headers.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import pytest
+
+from edge.builders import target
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import AccountId
+from yuccafold.edge import Account
+from yuccafold.edge import Forwarding
+from yuccafold.platform import HeaderTranslator
+
+CALL = (
+    (b"host", b"fleet.example"),
+    (b"x-attempt-id", b"9c41"),
+    (b"x-deadline-ms", b"1500"),
+    (b"x-key", b"secret"),
+)
+FORGED = (
+    (b"x-tenant", b"other"),
+    (b"x-expect-instance", b"i-0"),
+    (b"x-hold", b"h"),
+    (b"x-pin-ms", b"9"),
+    (b"x-kv-backup", b"10.0.0.1:1"),
+    (b"kv-from", b"10.0.0.1:1/h"),
+    (b"kv-fetch", b"10.0.0.1:1"),
+    (b"x-request-urgency", b"0"),
+)
+
+
+def forwarded(headers, **changes):
+    values = {
+        "target": target("t1"),
+        "account": Account(AccountId("acme")),
+        "deadline": Milliseconds(900),
+    }
+    translated = HeaderTranslator().target_headers(
+        headers, Forwarding(**(values | changes))
+    )
+    return {name.lower(): value for name, value in translated}
+
+
+def test_call_is_read():
+    prompt = (b"x-prompt-prefix", b"5c1e07a2:800,91bd3f06:410")
+    head = HeaderTranslator().read_call((*CALL, prompt, (b"x-token-counts", b"9,80")))
+    assert head.id == "9c41"
+    assert head.deadline == 1_500
+    assert head.api_key == "secret"
+    assert [part.tokens for part in head.prompt] == [800, 410]
+    assert [part.id for part in head.shared_parts] == ["5c1e07a2"]
+    assert head.output_tokens == 80
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        pytest.param((b"x-deadline-ms", b"soon"), id="deadline"),
+        pytest.param((b"x-prompt-prefix", b"5c1e:many"), id="prompt"),
+        pytest.param((b"x-attempt-id", b""), id="attempt"),
+    ],
+)
+def test_header_that_cannot_be_read_is_refused(header):
+    kept = tuple(other for other in CALL if other[0] != header[0])
+    with pytest.raises(ValueError, match="expected"):
+        HeaderTranslator().read_call((*kept, header))
+
+
+def test_key_stays_here_and_account_goes_on():
+    headers = forwarded(CALL)
+    assert b"x-key" not in headers
+    assert headers[b"x-tenant"] == b"acme"
+    assert headers[b"x-deadline-ms"] == b"900"
+    assert headers[b"x-expect-instance"] == b"t1"
+    assert headers[b"x-attempt-id"] == b"9c41"
+
+
+def test_headers_of_the_router_are_never_taken_from_a_caller():
+    headers = forwarded((*CALL, *FORGED), account=None)
+    assert {name for name, _ in FORGED} & headers.keys() == {b"x-expect-instance"}
+    assert headers[b"x-expect-instance"] == b"t1"
+
+
+def test_stream_goes_on_behind_the_last_event_of_ours():
+    sent = (*CALL, (b"last-event-id", b"3"))
+    assert forwarded(sent)[b"last-event-id"] == b"3"
+    assert forwarded(sent, resume_after="7")[b"last-event-id"] == b"7"
+
+
+def test_answer_is_read():
+    facts = HeaderTranslator().read_answer(
+        (
+            (b"x-attempt-id", b"9c41"),
+            (b"x-response-signature", b"s"),
+            (b"x-engine-load", b"3,1,8"),
+            (b"keep-alive", b"timeout=4, max=9"),
+        )
+    )
+    assert facts.call_id == "9c41"
+    assert facts.signed
+    assert not facts.not_run
+    assert (facts.load.running, facts.load.waiting, facts.load.slots) == (3, 1, 8)
+    assert facts.idle_timeout == 4_000
+
+
+@pytest.mark.parametrize("value", [b"", b"3", b"a,b,c", b"1,2,3,4"])
+def test_unreadable_load_is_no_load(value):
+    facts = HeaderTranslator().read_answer(((b"x-engine-load", value),))
+    assert facts.load is None
+
+
+def test_word_that_a_call_did_not_run_is_read():
+    assert HeaderTranslator().read_answer(((b"x-not-executed", b"1"),)).not_run
--- /dev/null
+++ b/testing/platform/test_settings.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import pytest
+
+from yuccafold.platform import read_settings
+
+SETTINGS = """\
+node_name=front-a-1
+role=router
+zone=a
+listen_addresses.front=10.1.0.40:8227
+listen_addresses.readiness=10.1.0.40:8220
+seeds=
+bounds.drain_timeout_ms=2000
+bounds.grace_period_s=8
+bounds.config_apply_ms=2000
+bounds.fail_closed=true
+bounds.revocation_ms=5000
+bounds.retry_budget_ratio=0.2
+bounds.retry_budget_slack=56
+bounds.cap_x=2
+bounds.not_known_yet=3
+platform.address=10.200.1.7:8223
+"""
+
+
+def test_fields_are_read_and_unknown_ones_ignored():
+    settings = read_settings(SETTINGS)
+    assert settings.vm == "front-a-1"
+    assert str(settings.callers) == "10.1.0.40:8227"
+    assert settings.grace_period == 8_000
+    assert settings.fails_closed
+    assert settings.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("line", "message"),
+    [
+        pytest.param("zone=a", "zone: expected a value, got none", id="missing"),
+        pytest.param(
+            "platform.address=10.200.1.7:8223",
+            "platform.address: expected an address like",
+            id="address",
+        ),
+        pytest.param(
+            "bounds.fail_closed=true",
+            "bounds.fail_closed: expected true or false",
+            id="truth",
+        ),
+        pytest.param("bounds.revocation_ms=5000", "bounds.revocation_ms", id="number"),
+    ],
+)
+def test_faulty_settings_name_the_field_and_what_was_expected(line, message):
+    name = line.partition("=")[0]
+    faulty = "" if name == "zone" else f"{name}=nonsense"
+    with pytest.raises(ValueError, match=message):
+        read_settings(SETTINGS.replace(line, faulty))
--- /dev/null
+++ b/testing/platform/test_store.py
@@ -0,0 +1,186 @@
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+import pytest
+
+from edge.builders import wire_config
+from edge.builders import wire_route
+from edge.builders import wire_target
+from support.loopback import on_trio
+from support.loopback import serving
+from yuccafold._clock import Milliseconds
+from yuccafold.edge import Catalogue
+from yuccafold.edge import HistoryLostError
+from yuccafold.edge import PlatformUnavailableError
+from yuccafold.edge import Repeatability
+from yuccafold.edge import SocketAddress
+from yuccafold.edge import TargetGone
+from yuccafold.edge import TargetState
+from yuccafold.platform import StoreSource
+from yuccafold.standins import Faults
+from yuccafold.standins import PlatformStore
+from yuccafold.standins import PlatformStoreSettings
+
+CONFIG = wire_config(
+    wire_route("/look/", "safe"),
+    wire_route("/book/", "unsafe"),
+    wire_route("/chat/", "streaming", resumable=True, gap_aim_ms=400),
+    wire_route("/draw/", "streaming", resumable=False),
+    wire_route("/new/", "kind-of-later"),
+)
+SOON = Milliseconds(20)
+
+
+@asynccontextmanager
+async def store_with(*targets, page_items=500, config=CONFIG):
+    store = PlatformStore(PlatformStoreSettings(page_items=page_items))
+    store.put("op/config", config)
+    for name in targets:
+        store.put(f"servers/{name}", wire_target("10.0.0.1:80"))
+    async with serving(store):
+        source = StoreSource(SocketAddress.parse(store.server.address))
+        try:
+            yield store, source
+        finally:
+            await source.close()
+
+
+@on_trio
+async def test_kinds_of_routes_say_what_may_be_repeated():
+    async with store_with() as (_, source):
+        found = (await source.read_all()).catalogue
+        kinds = {route.prefix: route.repeatability for route in found.routes}
+        assert kinds == {
+            "/look/": Repeatability.IDEMPOTENT,
+            "/book/": Repeatability.ONCE,
+            "/chat/": Repeatability.RESUMABLE,
+            "/draw/": Repeatability.ONCE,
+            "/new/": Repeatability.ONCE,
+        }
+        assert found.accounts["key-1"].priority == 1
+        assert found.limits.max_body == 4_096
+
+
+@on_trio
+async def test_list_is_read_page_by_page():
+    names = [f"i-{n}" for n in range(7)]
+    async with store_with(*names, page_items=3) as (store, source):
+        state = await source.read_all()
+        assert [record.id for record in state.targets] == names
+        assert store.calls == ("/-/kv-range",) * 3
+
+
+@on_trio
+async def test_changes_come_in_order_and_once():
+    async with store_with("i-1") as (store, source):
+        state = await source.read_all()
+        store.put("servers/i-1", wire_target("10.0.0.1:80", state="draining"))
+        store.remove("servers/i-1")
+        store.put("op/config", wire_config(version=9))
+        changes = await source.changes(state.position, SOON)
+        draining, gone, config = changes.facts
+        assert draining.state is TargetState.DRAINING
+        assert gone == TargetGone("i-1")
+        assert isinstance(config, Catalogue)
+        assert config.version == 9
+        again = await source.changes(state.position, SOON)
+        assert again.facts == ()
+
+
+@on_trio
+async def test_watch_without_a_change_waits_and_returns_empty():
+    async with store_with() as (store, source):
+        state = await source.read_all()
+        changes = await source.changes(state.position, SOON)
+        assert changes.facts == ()
+        assert changes.position == store.revision
+        assert store.server.connections == 1
+
+
+@on_trio
+async def test_lost_history_is_told():
+    async with store_with() as (store, source):
+        state = await source.read_all()
+        store.put("other/key", b"1")
+        store.compact()
+        with pytest.raises(HistoryLostError):
+            await source.changes(state.position, SOON)
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_refusal_is_no_answer(status):
+    @on_trio
+    async def run():
+        async with store_with() as (store, source):
+            store.refuse_with = status
+            with pytest.raises(PlatformUnavailableError, match=str(status)):
+                await source.read_all()
+            store.refuse_with = None
+            assert (await source.read_all()).catalogue is not None
+
+    run()
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param(Faults(close_at_response_byte=30, reset=True), id="reset"),
+        pytest.param(Faults(truncated=True), id="cut"),
+        pytest.param(Faults(silent=True), id="silent"),
+    ],
+)
+def test_broken_answer_is_no_answer_and_the_next_call_works(faults):
+    @on_trio
+    async def run():
+        async with store_with() as (store, source):
+            store.server.set_faults(faults)
+            with pytest.raises(PlatformUnavailableError):
+                await source.read_all()
+            store.server.set_faults(Faults())
+            assert (await source.read_all()).catalogue is not None
+
+    run()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b"\xff\x00", id="bytes"),
+        pytest.param(b"[]", id="list"),
+        pytest.param(b"[" * 100_000, id="deep"),
+        pytest.param(wire_target("10.0.0.1:80", state="odd"), id="state"),
+        pytest.param(wire_target("nowhere"), id="address"),
+        pytest.param(wire_target("10.0.0.1:80", service=7), id="service"),
+        pytest.param(wire_target("10.0.0.1:80", slots="six"), id="slots"),
+    ],
+)
+def test_malformed_entry_names_no_target_and_the_others_hold(value):
+    @on_trio
+    async def run():
+        async with store_with("i-1", "i-2") as (store, source):
+            store.put("servers/i-1", value)
+            state = await source.read_all()
+            assert [record.id for record in state.targets] == ["i-2"]
+            store.put("servers/i-2", value)
+            changes = await source.changes(state.position, SOON)
+            assert changes.facts == (TargetGone("i-2"),)
+
+    run()
+
+
+@on_trio
+async def test_configuration_that_cannot_be_read_changes_nothing():
+    async with store_with() as (store, source):
+        state = await source.read_all()
+        store.put("op/config", b"{}")
+        assert (await source.changes(state.position, SOON)).facts == ()
+
+
+@on_trio
+async def test_route_may_share_its_calls_between_services():
+    split = [{"service": "desk", "weight": 90}, {"service": "next", "weight": 10}]
+    config = wire_config(wire_route("/look/", "safe", traffic_split=split))
+    async with store_with(config=config) as (_, source):
+        (route,) = (await source.read_all()).catalogue.routes
+        assert route.services == (("desk", 90), ("next", 10))
