Confirm the view at a steady pace, and send callers elsewhere before keys lapse

Each watch confirmed the view only from its start, so the view was up to two waits old when an outage began.

Ruled out: counting an empty watch as a confirmation at its end (a watch may be deaf for a second while changes are made), and shorter watches (each is a call).

Change: one long watch follows changes, a call without a wait confirms the view every two seconds, and a watch that missed a change is replaced. Before keys lapse a VM is not ready and ends its connections after their answer; refusals that another VM probably answers may come back after 30 ms. Lost history is no outage in which entries lapse.

--- a/src/yuccafold/edge/_attempts.py
+++ b/src/yuccafold/edge/_attempts.py
@@ -21,9 +21,6 @@
 RETRY_LATER = Milliseconds(400)
 """When a caller may come back while no target can be had: some start in seconds."""
 
-RETRY_AFTER_RECOVERY = Milliseconds(1_000)
-"""When a caller may come back to a VM that does not know the settings."""
-
 
 class Failure(Enum):
     """How an attempt failed."""
--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -44,8 +44,8 @@
     """What a connection asks of the process it belongs to."""
 
     @property
-    def draining(self) -> bool:
-        """Whether the process is about to stop."""
+    def ready(self) -> bool:
+        """Whether callers should come here, or rather go elsewhere."""
         ...
 
     @property
@@ -138,7 +138,7 @@
 
     async def _serve(self, request: h11.Request) -> bool:
         """Read the body, decide, forward; return whether another call may follow."""
-        responder = EdgeResponder(self._http, lambda: self._state.draining)
+        responder = EdgeResponder(self._http, lambda: not self._state.ready)
         headers: Headers = tuple(request.headers)
         refusal = self._check_head(request, headers)
         if refusal is not None:
--- a/src/yuccafold/edge/_gate.py
+++ b/src/yuccafold/edge/_gate.py
@@ -13,7 +13,6 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
-from yuccafold.edge._attempts import RETRY_AFTER_RECOVERY
 from yuccafold.edge._attempts import spread
 from yuccafold.edge._model import Account
 from yuccafold.edge._model import Catalogue
@@ -25,6 +24,14 @@
 """Taken off a key's lifetime for clocks that differ in speed and rounding."""
 
 
+HAND_OVER_SHARE = 0.6
+"""Share of a key's lifetime after which callers are sent elsewhere: by then two
+confirmations of the view have failed."""
+
+RETRY_ELSEWHERE = Milliseconds(30)
+"""When a caller may come back that another VM probably serves: retries go there."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -51,11 +58,19 @@
         self._rng = rng
 
     def is_ready(self, now: Milliseconds) -> bool:
-        """Return whether calls would be taken."""
+        """Return whether callers should come here.
+
+        False some time before keys lapse, so that they reach another VM, which
+        may have a fresher view, before this one refuses them.
+        """
         catalogue = self._view.catalogue
         if catalogue is None:
             return False
-        return catalogue.accounts is None or not self._keys_lapsed(now)
+        if catalogue.accounts is None or not self._settings.fails_closed:
+            return True
+        age = self._view.age(now)
+        limit = self._settings.key_lifetime * HAND_OVER_SHARE
+        return age is not None and age <= limit
 
     def admit(
         self, host: str, path: str, api_key: str | None, now: Milliseconds
@@ -92,5 +107,5 @@
         return Refusal(status, code, reason, Verdict.NOT_RUN)
 
     def _later(self, code: str, reason: str) -> Refusal:
-        wait = spread(RETRY_AFTER_RECOVERY, self._rng)
+        wait = spread(RETRY_ELSEWHERE, self._rng)
         return Refusal(503, code, reason, Verdict.NOT_RUN, wait)
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -66,7 +66,10 @@
         ...
 
     async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
-        """Return what changed behind ``after``, waiting up to ``wait`` for it."""
+        """Return what changed behind ``after``, waiting up to ``wait`` for it.
+
+        Calls with and without a wait may overlap.
+        """
         ...
 
     async def close(self) -> None:
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -24,8 +24,21 @@
 from yuccafold.edge._targets import Targets
 from yuccafold.edge._view import PlatformView
 
-WATCH_SHARE = 0.3
-"""Share of a key's lifetime that one watch waits: an outage may take up the rest."""
+CONFIRM_SHARE = 0.4
+"""Share of a key's lifetime between two confirmations of the view: the rest is left
+for outages, of which callers are owed three fifths."""
+
+WATCH_WAIT = Milliseconds(20_000)
+"""How long a watch waits for a change; the store allows 30,000 ms."""
+
+NO_WAIT = Milliseconds(0)
+
+DEAF_AFTER = Milliseconds(1_000)
+"""A watch that did not tell for this long of a change that is there is dead."""
+
+GATHER_PAUSE = Milliseconds(120)
+"""Pause after a change before the next watch: changes come in bursts, each answer is
+a call, and a change must be in force only within seconds."""
 
 FIRST_PAUSE = Milliseconds(60)
 """Pause after the first failed read; the platform answers in a few ms."""
@@ -50,46 +63,109 @@
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._wait = Milliseconds(round(settings.key_lifetime * WATCH_SHARE))
+        self._confirm_pause = Milliseconds(round(settings.key_lifetime * CONFIRM_SHARE))
         self._source = source
         self._view = view
         self._targets = targets
         self._metrics = metrics
         self._position: int | None = None
+        self._listed = 0
         self._pause = FIRST_PAUSE
         self._lost_at: Milliseconds | None = None
+        self._fresh = trio.Event()
+        self._doubted = trio.Event()
+        self._watch = trio.CancelScope()
+        self._watch_started = Milliseconds(0)
 
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Read until cancelled: one task follows changes, one confirms the view."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._confirm)
+
+    async def _follow(self) -> None:
+        """Take changes as they come; the platform answers once there is one."""
+        while True:
+            await self._fresh.wait()
+            self._watch_started = self._clock.now()
+            try:
+                with trio.CancelScope() as self._watch:
+                    await self._read(WATCH_WAIT)
+            except (HistoryLostError, PlatformUnavailableError) as error:
+                self._doubt(error)
+            await trio.sleep(GATHER_PAUSE / MS_PER_SECOND)
+
+    async def _confirm(self) -> None:
+        """Ask at a steady pace, and when in doubt, whether the view still holds."""
         while True:
             started = self._clock.now()
+            self._doubted = trio.Event()
             try:
-                await self._read()
+                missed = await self._read(NO_WAIT)
             except HistoryLostError as error:
-                log_event("platform_history_lost", detail=str(error))
-                self._position = None
-                self._view.note_outage(started)
+                self._doubt(error)
+                continue
             except PlatformUnavailableError as error:
-                await self._wait_after(error)
+                self._doubt(error)
+                await self._wait_after_failure()
                 continue
-            self._view.confirm(started)
-            self._view.forget_gone(started)
-            self._note_regained()
-
-    async def _read(self) -> None:
+            self._confirmed(started)
+            if missed and started - self._watch_started > DEAF_AFTER:
+                log_event("platform_watch_deaf", missed=missed)
+                self._watch.cancel()
+            with trio.move_on_after(self._confirm_pause / MS_PER_SECOND):
+                await self._doubted.wait()
+
+    async def _read(self, wait: Milliseconds) -> int:
+        """Take what changed behind the position; return how many changes."""
         self._metrics.count("platform_reads")
-        if self._position is None:
-            await self._read_all()
-            return
-        # The first read after an outage returns at once and confirms the view.
-        wait = self._wait if self._lost_at is None else Milliseconds(1)
-        changes = await self._source.changes(self._position, wait)
+        position, listed = self._position, self._listed
+        if position is None:
+            return await self._read_all()
+        changes = await self._source.changes(position, wait)
+        if listed != self._listed:
+            # A list that was read meanwhile is newer than these changes.
+            return 0
         for fact in changes.facts:
             self._take(fact)
-        self._position = changes.position
+        self._position = max(position, changes.position, self._position or 0)
+        return len(changes.facts)
+
+    def _confirmed(self, started: Milliseconds) -> None:
+        """Record that a call begun at ``started`` showed the present state."""
+        self._view.confirm(started)
+        self._view.forget_gone(started)
+        if self._lost_at is not None:
+            log_event("platform_regained", lost_ms=self._clock.now() - self._lost_at)
+        self._lost_at = None
+        self._pause = FIRST_PAUSE
+        self._fresh.set()
+
+    def _doubt(self, error: HistoryLostError | PlatformUnavailableError) -> None:
+        """Have the view confirmed at once; watches wait until it is."""
+        now = self._clock.now()
+        self._metrics.count("platform_failures")
+        self._fresh = trio.Event()
+        self._doubted.set()
+        if isinstance(error, HistoryLostError):
+            log_event("platform_history_lost", detail=str(error))
+            self._position = None
+            return
+        self._view.note_outage(now)
+        if self._lost_at is None:
+            self._lost_at = now
+            log_event(
+                "platform_lost", detail=str(error), view_age_ms=self._view.age(now)
+            )
+
+    async def _wait_after_failure(self) -> None:
+        """Retry after an exponential delay with jitter."""
+        await trio.sleep(spread(self._pause, self._rng) / MS_PER_SECOND)
+        self._pause = Milliseconds(min(LONGEST_PAUSE, self._pause * 2))
 
-    async def _read_all(self) -> None:
+    async def _read_all(self) -> int:
         state = await self._source.read_all()
+        self._listed += 1
         if state.catalogue is not None:
             self._take(state.catalogue)
         for record in state.targets:
@@ -98,6 +174,7 @@
         for target in self._view.keep_only(listed, self._clock.now()):
             log_event("target_gone", target=target, reason="not listed")
         self._position = state.position
+        return 0
 
     def _take(self, fact: PlatformFact) -> None:
         """Take one fact into the view."""
@@ -130,22 +207,3 @@
             state=record.state.value,
             born_ms=record.born_ms,
         )
-
-    async def _wait_after(self, error: PlatformUnavailableError) -> None:
-        now = self._clock.now()
-        self._metrics.count("platform_failures")
-        self._view.note_outage(now)
-        if self._lost_at is None:
-            self._lost_at = now
-            log_event(
-                "platform_lost", detail=str(error), view_age_ms=self._view.age(now)
-            )
-        await trio.sleep(spread(self._pause, self._rng) / MS_PER_SECOND)
-        self._pause = Milliseconds(min(LONGEST_PAUSE, self._pause * 2))
-
-    def _note_regained(self) -> None:
-        if self._lost_at is not None:
-            lost_ms = self._clock.now() - self._lost_at
-            log_event("platform_regained", lost_ms=lost_ms)
-        self._lost_at = None
-        self._pause = FIRST_PAUSE
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -60,59 +60,14 @@
 
 
 @final
-class StoreSource:
-    """Reads configuration and targets from the store at ``address``.
-
-    One watch over all keys tells of both. The store is never written to.
-    """
+class StoreConnection:
+    """One kept connection to the store, for one call at a time."""
 
     def __init__(self, address: SocketAddress) -> None:
         self._address = address
         self._http: HttpStream | None = None
-        self._revisions: dict[str, int] = {}
-
-    async def read_all(self) -> PlatformState:
-        """Return the whole present state.
-
-        Pages are read at different times, so changes go on behind the first.
-        """
-        items: dict[str, Item] = {}
-        first: int | None = None
-        after = ""
-        while True:
-            query = {"prefix": EVERYTHING} | ({"after": after} if after else {})
-            page = await self._get("/-/kv-range", query)
-            first = _as_of(page) if first is None else first
-            listed = [_item(entry) for entry in _entries(page, "items")]
-            items |= {item.key: item for item in listed}
-            if page.get("more_pages") is not True or not listed:
-                break
-            after = listed[-1].key
-        self._revisions = {item.key: item.revision for item in items.values()}
-        facts = list(_facts(items.values()))
-        catalogues = [fact for fact in facts if isinstance(fact, Catalogue)]
-        targets = tuple(fact for fact in facts if isinstance(fact, TargetRecord))
-        return PlatformState(catalogues[0] if catalogues else None, targets, first)
-
-    async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
-        """Return what changed behind revision ``after``."""
-        query = {"prefix": EVERYTHING, "after": after, "wait_ms": wait}
-        answer = await self._get("/-/kv-watch", query, wait)
-        events = [_item(entry) for entry in _entries(answer, "events")]
-        new = [item for item in events if item.revision > self._known(item.key)]
-        self._revisions |= {item.key: item.revision for item in new}
-        return PlatformChanges(tuple(_facts(new)), max(after, _as_of(answer)))
-
-    async def close(self) -> None:
-        """Close the connection to the store."""
-        http, self._http = self._http, None
-        if http is not None:
-            await http.close()
-
-    def _known(self, key: str) -> int:
-        return self._revisions.get(key, 0)
 
-    async def _get(
+    async def get(
         self, path: str, query: dict[str, object], wait: int = 0
     ) -> JsonObject:
         """Return the body of a successful answer."""
@@ -137,6 +92,12 @@
         except ValueError as error:
             raise PlatformUnavailableError(str(error)) from error
 
+    async def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        http, self._http = self._http, None
+        if http is not None:
+            await http.close()
+
     async def _call(self, target: str) -> tuple[int, bytes]:
         http = await self._connection()
         request = h11.Request(
@@ -169,6 +130,63 @@
         return self._http
 
 
+@final
+class StoreSource:
+    """Reads configuration and targets from the store at ``address``.
+
+    One watch over all keys tells of both. The store is never written to.
+    """
+
+    def __init__(self, address: SocketAddress) -> None:
+        self._reads = StoreConnection(address)
+        self._watches = StoreConnection(address)
+        self._revisions: dict[str, int] = {}
+
+    async def read_all(self) -> PlatformState:
+        """Return the whole present state.
+
+        Pages are read at different times, so changes go on behind the first.
+        """
+        items: dict[str, Item] = {}
+        first: int | None = None
+        after = ""
+        while True:
+            query = {"prefix": EVERYTHING} | ({"after": after} if after else {})
+            page = await self._reads.get("/-/kv-range", query)
+            first = _as_of(page) if first is None else first
+            listed = [_item(entry) for entry in _entries(page, "items")]
+            items |= {item.key: item for item in listed}
+            if page.get("more_pages") is not True or not listed:
+                break
+            after = listed[-1].key
+        self._revisions = {item.key: item.revision for item in items.values()}
+        facts = list(_facts(items.values()))
+        catalogues = [fact for fact in facts if isinstance(fact, Catalogue)]
+        targets = tuple(fact for fact in facts if isinstance(fact, TargetRecord))
+        return PlatformState(catalogues[0] if catalogues else None, targets, first)
+
+    async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
+        """Return what changed behind revision ``after``.
+
+        Calls that wait have a connection of their own.
+        """
+        query = {"prefix": EVERYTHING, "after": after, "wait_ms": wait}
+        connection = self._watches if wait else self._reads
+        answer = await connection.get("/-/kv-watch", query, wait)
+        events = [_item(entry) for entry in _entries(answer, "events")]
+        new = [item for item in events if item.revision > self._known(item.key)]
+        self._revisions |= {item.key: item.revision for item in new}
+        return PlatformChanges(tuple(_facts(new)), max(after, _as_of(answer)))
+
+    async def close(self) -> None:
+        """Close the connections to the store."""
+        await self._reads.close()
+        await self._watches.close()
+
+    def _known(self, key: str) -> int:
+        return self._revisions.get(key, 0)
+
+
 def _as_of(answer: JsonObject) -> int:
     """Return the store's revision at the time of an answer."""
     return _usable(answer, "as_of", int)
--- a/testing/edge/test_router.py
+++ b/testing/edge/test_router.py
@@ -313,6 +313,9 @@
         with trio.fail_after(10):
             while found.router.ready:
                 await trio.sleep(0.02)
+        # Callers are sent elsewhere first; then keys lapse.
+        assert (await found.call("GET", "/look/a"))[0] == 200
+        await trio.sleep(0.5)
         status, head, _ = await found.call("GET", "/look/a")
         assert status == 503
         assert "Retry-After" in head
