--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -44,7 +44,7 @@
 IDLE_MARGIN = Milliseconds(500)
 """Taken off a stated idle timeout for the way there and a late wake-up."""
 
-ONCE_IDLE_LIMIT = Milliseconds(1_500)
+ONCE_IDLE_LIMIT = Milliseconds(10_000)
 """A call that runs once takes no connection idle for longer: it may be dead."""
 
 DISCARD_TIMEOUT = Milliseconds(50)
