Listen before the program is loaded, and let calls wait for the first view

Ruled out: loading less (trio, attrs and h11 are most of it).

Change: the program's first act is to listen on the addresses that the platform passes in the environment; callers wait in the backlog, also for the first read of the platform, 300 ms at most.

--- a/src/yuccafold/__main__.py
+++ b/src/yuccafold/__main__.py
@@ -4,6 +4,10 @@
 
 import sys
 
-from yuccafold.cli import main
+from yuccafold._early import listen_early
+
+listen_early()
+
+from yuccafold.cli import main  # noqa: E402 - loading it takes long
 
 sys.exit(main())
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -72,11 +72,17 @@
         self._listed = 0
         self._pause = FIRST_PAUSE
         self._lost_at: Milliseconds | None = None
+        self._first_view = trio.Event()
         self._fresh = trio.Event()
         self._doubted = trio.Event()
         self._watch = trio.CancelScope()
         self._watch_started = Milliseconds(0)
 
+    @property
+    def first_view(self) -> trio.Event:
+        """Set once the platform was read for the first time."""
+        return self._first_view
+
     async def run(self) -> None:
         """Read until cancelled: one task follows changes, one confirms the view."""
         async with trio.open_nursery() as nursery:
@@ -140,6 +146,7 @@
         self._lost_at = None
         self._pause = FIRST_PAUSE
         self._fresh.set()
+        self._first_view.set()
 
     def _doubt(self, error: HistoryLostError | PlatformUnavailableError) -> None:
         """Have the view confirmed at once; watches wait until it is."""
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -41,6 +41,10 @@
 END_MARGIN = Milliseconds(300)
 """How long before the end of the grace period the process ends by itself."""
 
+FIRST_VIEW_WAIT = Milliseconds(300)
+"""How long calls wait in the backlog for the first view of the platform, which
+answers in a few ms; after that they are refused as not run."""
+
 DRAIN_POLL = Milliseconds(50)
 """How often a stopping process looks whether its calls have ended."""
 
@@ -136,6 +140,8 @@
         ]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(supervisor.run, children)
+            with trio.move_on_after(FIRST_VIEW_WAIT / MS_PER_SECOND):
+                await self._reader.first_view.wait()
             for listener, server in pages:
                 nursery.start_soon(listener.run, server.serve)
             nursery.start_soon(callers.run, self._serve_caller)
--- a/src/yuccafold/http/_listener.py
+++ b/src/yuccafold/http/_listener.py
@@ -8,9 +8,10 @@
 
 import trio
 
+from yuccafold._early import BACKLOG
+from yuccafold._early import take_early
 from yuccafold._log import log_event
 
-BACKLOG = 1_024
 ACCEPT_PAUSE_SECONDS = 0.1
 
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
@@ -31,7 +32,15 @@
 
     @classmethod
     async def open(cls, address: str, limit: int) -> Listener:
-        """Listen on ``address``; port 0 takes any free port."""
+        """Listen on ``address``; port 0 takes any free port.
+
+        A socket that listens there since before the program was loaded is used.
+        """
+        early = take_early(address)
+        if early is not None:
+            return cls(
+                trio.SocketListener(trio.socket.from_stdlib_socket(early)), limit
+            )
         host, port = address.rsplit(":", 1)
         host = host.strip("[]")
         listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
--- a/testing/edge/test_router.py
+++ b/testing/edge/test_router.py
@@ -79,10 +79,11 @@
 
 
 @asynccontextmanager
-async def edge(*targets, settings=None, routes=ROUTES):
+async def edge(*targets, settings=None, routes=ROUTES, reachable=True):
     store = PlatformStore(PlatformStoreSettings())
     async with serving(store, *targets) as nursery:
         store.put("op/config", wire_config(*routes))
+        store.refuse_with = None if reachable else 503
         for target in targets:
             store.put(f"servers/{target.id}", wire_target(target.server.address))
         address = SocketAddress.parse(store.server.address)
@@ -96,7 +97,7 @@
         )
         found = Edge(store, targets, router)
         found.address = await nursery.start(router.run)
-        while not router.ready:
+        while reachable and not router.ready:
             await trio.sleep(0.005)
         yield found
 
@@ -374,6 +375,14 @@
         assert (await found.call("POST", "/book/b", b"y"))[0] == 200
 
 
+@on_trio
+async def test_process_that_cannot_read_the_platform_refuses_as_not_run():
+    async with edge(target(), reachable=False) as found:
+        status, head, _ = await found.call("GET", "/look/a")
+        assert status == 503
+        assert "Retry-After" in head
+
+
 @on_trio
 async def test_refusal_says_in_json_what_happened():
     async with edge() as found:
--- /dev/null
+++ b/testing/test_early.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import socket
+
+import pytest
+import trio
+
+from support.loopback import on_trio
+from yuccafold._early import LISTEN_VARIABLE
+from yuccafold._early import listen_early
+from yuccafold._early import take_early
+from yuccafold.http import Listener
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def test_callers_connect_before_the_program_is_loaded(monkeypatch):
+    address = free_address()
+    monkeypatch.setenv(LISTEN_VARIABLE, address)
+    listen_early()
+    host, port = address.split(":")
+    waiting = socket.create_connection((host, int(port)))
+    waiting.sendall(b"early")
+
+    @on_trio
+    async def serve():
+        seen = []
+
+        async def take(stream):
+            seen.append(await stream.receive_some())
+
+        listener = await Listener.open(address, 4)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(listener.run, take)
+            while not seen:
+                await trio.sleep(0.005)
+            nursery.cancel_scope.cancel()
+        assert seen == [b"early"]
+
+    with waiting:
+        serve()
+
+
+@pytest.mark.parametrize("value", ["", "nonsense", "127.0.0.1:x", "192.0.2.1:1"])
+def test_address_that_cannot_be_bound_is_left_to_the_program(monkeypatch, value):
+    monkeypatch.setenv(LISTEN_VARIABLE, value)
+    listen_early()
+    assert take_early(value) is None
