--- a/src/yuccafold/cli/_edge_router.py
+++ b/src/yuccafold/cli/_edge_router.py
@@ -23,6 +23,7 @@
 from yuccafold.edge import EdgeSettings
 from yuccafold.platform import HeaderTranslator
 from yuccafold.platform import StoreSource
+from yuccafold.platform import decode
 from yuccafold.platform import read_settings
 
 LOG_FLUSH = Milliseconds(100)
@@ -61,9 +62,13 @@
 
 
 async def _serve(settings: EdgeSettings, path: str, lines: BoundedLines) -> None:
-    source = StoreSource(settings.platform)
     router = EdgeRouter(
-        settings, source, HeaderTranslator(), MonotonicClock(), random.Random()
+        settings,
+        StoreSource(settings.platform),
+        decode,
+        HeaderTranslator(),
+        MonotonicClock(),
+        random.Random(),
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_flush, lines)
--- a/src/yuccafold/edge/__init__.py
+++ b/src/yuccafold/edge/__init__.py
@@ -23,6 +23,8 @@
 from yuccafold.edge._model import TargetState
 from yuccafold.edge._model import index_routes
 from yuccafold.edge._platform_source import CallTranslator
+from yuccafold.edge._platform_source import Decode
+from yuccafold.edge._platform_source import Entry
 from yuccafold.edge._platform_source import HistoryLostError
 from yuccafold.edge._platform_source import PlatformChanges
 from yuccafold.edge._platform_source import PlatformFact
@@ -41,8 +43,10 @@
     "CallTranslator",
     "CallerLimits",
     "Catalogue",
+    "Decode",
     "EdgeRouter",
     "EdgeSettings",
+    "Entry",
     "Forwarding",
     "HistoryLostError",
     "PartId",
--- a/src/yuccafold/edge/_pages.py
+++ b/src/yuccafold/edge/_pages.py
@@ -1,4 +1,4 @@
-"""Serves small pages over HTTP: readiness and metrics."""
+"""Serves small pages over HTTP: readiness, metrics, and the view for other VMs."""
 
 from __future__ import annotations
 
@@ -21,12 +21,13 @@
 MAX_PAGE_HEAD_BYTES = 8_192
 TEXT: Headers = ((b"Content-Type", b"text/plain; charset=utf-8"),)
 
-Page = Callable[[], tuple[int, str]]
+Page = Callable[[str], tuple[int, str]]
+"""Returns status and text for the target of a request."""
 
 
 @final
 class PageServer:
-    """Answers every GET with one page, whatever its path."""
+    """Answers every GET with what one function returns for its target."""
 
     def __init__(self, page: Page) -> None:
         self._page = page
@@ -47,9 +48,10 @@
         event = await http.next_event()
         if not isinstance(event, h11.Request):
             return False
+        target = event.target.decode("latin-1")
         while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
             event = await http.next_event()
-        status, text = self._page()
+        status, text = self._page(target)
         await EdgeResponder(http, lambda: False).answer(status, TEXT, text.encode())
         if http.http.our_state is h11.DONE and http.http.their_state is h11.DONE:
             http.http.start_next_cycle()
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 from typing import final
@@ -35,32 +36,53 @@
 PlatformFact = Catalogue | TargetRecord | TargetGone
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One key of the platform as written at a revision; ``None`` if removed."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class PlatformState:
-    """The whole state at one time; changes go on behind ``position``."""
+    """All entries at one time; changes go on behind ``position``."""
 
-    catalogue: Catalogue | None
-    targets: tuple[TargetRecord, ...]
+    entries: tuple[Entry, ...]
     position: int
+    age: Milliseconds = Milliseconds(0)
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class PlatformChanges:
-    """What changed, in order; changes go on behind ``position``."""
+    """What changed, in order; changes go on behind ``position``.
 
-    facts: tuple[PlatformFact, ...]
+    ``age`` is how long before the answer the platform itself confirmed it.
+    ``in_outage`` says that the platform could not be read a short while ago.
+    """
+
+    entries: tuple[Entry, ...]
     position: int
+    age: Milliseconds = Milliseconds(0)
+    in_outage: bool = False
 
 
 class PlatformSource(Protocol):
-    """Reads catalogue and targets from the platform.
+    """Where the platform's entries are read: its store, or a VM that read it.
 
-    Both reads raise ``PlatformUnavailableError`` without a usable answer, and
+    All reads raise ``PlatformUnavailableError`` without a usable answer, and
     ``changes`` raises ``HistoryLostError`` when only ``read_all`` can help.
     """
 
+    @property
+    def name(self) -> str:
+        """What logs call the source."""
+        ...
+
     async def read_all(self) -> PlatformState:
         """Return the whole present state."""
         ...
@@ -72,9 +94,9 @@
         """
         ...
 
-    async def close(self) -> None:
-        """Close the connection to the platform."""
-        ...
+
+Decode = Callable[[Entry], PlatformFact | None]
+"""Reads one entry; one that says nothing of use is ``None``."""
 
 
 class CallTranslator(Protocol):
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -12,21 +12,36 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
 from yuccafold.edge._attempts import spread
+from yuccafold.edge._entries import EntryTable
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._platform_source import Decode
+from yuccafold.edge._platform_source import Entry
 from yuccafold.edge._platform_source import HistoryLostError
-from yuccafold.edge._platform_source import PlatformFact
 from yuccafold.edge._platform_source import PlatformSource
 from yuccafold.edge._platform_source import PlatformUnavailableError
 from yuccafold.edge._platform_source import TargetGone
 from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._source_choice import SourceChoice
 from yuccafold.edge._targets import Targets
 from yuccafold.edge._view import PlatformView
 
-CONFIRM_SHARE = 0.4
-"""Share of a key's lifetime between two confirmations of the view: the rest is left
-for outages, of which callers are owed three fifths."""
+LONE_SHARE = 0.4
+"""Share of a key's lifetime between two confirmations of the view where no other VM
+asks: the rest is left for outages, of which callers are owed three fifths."""
+
+SEED_SHARE = 0.35
+"""Share of the time in which settings must be in force, between two confirmations of
+a VM that others ask. A seed that lost the platform is noticed when its view is
+older than this."""
+
+ASKING_SHARE = 0.25
+"""The same between two questions to a seed: with the share above and the time to ask
+another one, a change is in force in time whichever VM fails."""
+
+AGE_SLACK = Milliseconds(250)
+"""How much older than one confirmation a seed's view may be when it answers."""
 
 WATCH_WAIT = Milliseconds(20_000)
 """How long a watch waits for a change; the store allows 30,000 ms."""
@@ -49,29 +64,42 @@
 
 @final
 class ViewReader:
-    """Reads the platform without end and takes what it says into the view."""
+    """Reads the platform without end and takes what it says into the view.
+
+    VMs that read it themselves follow its changes by a watch. All confirm their
+    view at a steady pace, at the store or at other VMs.
+    """
 
     def __init__(
         self,
         clock: Clock,
         rng: random.Random,
         settings: EdgeSettings,
-        source: PlatformSource,
+        store: PlatformSource,
+        peers: list[PlatformSource],
+        decode: Decode,
+        table: EntryTable,
         view: PlatformView,
         targets: Targets,
         metrics: EdgeMetrics,
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._confirm_pause = Milliseconds(round(settings.key_lifetime * CONFIRM_SHARE))
-        self._source = source
+        self._store = store
+        self._choice = SourceChoice(store, peers, settings.reads_platform, rng)
+        self._follows = settings.reads_platform
+        self._confirm_pause = confirm_pause(settings)
+        self._max_age = Milliseconds(
+            round(settings.apply_within * SEED_SHARE) + AGE_SLACK
+        )
+        self._decode = decode
+        self._table = table
         self._view = view
         self._targets = targets
         self._metrics = metrics
-        self._position: int | None = None
-        self._listed = 0
         self._pause = FIRST_PAUSE
-        self._lost_at: Milliseconds | None = None
+        self._lists = 0
+        self._must_list = True
         self._first_view = trio.Event()
         self._fresh = trio.Event()
         self._doubted = trio.Event()
@@ -86,7 +114,8 @@
     async def run(self) -> None:
         """Read until cancelled: one task follows changes, one confirms the view."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow)
+            if self._follows:
+                nursery.start_soon(self._follow)
             nursery.start_soon(self._confirm)
 
     async def _follow(self) -> None:
@@ -96,111 +125,153 @@
             self._watch_started = self._clock.now()
             try:
                 with trio.CancelScope() as self._watch:
-                    await self._read(WATCH_WAIT)
-            except (HistoryLostError, PlatformUnavailableError) as error:
-                self._doubt(error)
+                    await self._read_changes(self._store, WATCH_WAIT)
+            except HistoryLostError as error:
+                self._lose_history(error)
+            except PlatformUnavailableError as error:
+                self._lose(self._store, error)
             await trio.sleep(GATHER_PAUSE / MS_PER_SECOND)
 
     async def _confirm(self) -> None:
         """Ask at a steady pace, and when in doubt, whether the view still holds."""
         while True:
-            started = self._clock.now()
             self._doubted = trio.Event()
+            if not await self._refresh():
+                await trio.sleep(spread(self._pause, self._rng) / MS_PER_SECOND)
+                self._pause = Milliseconds(min(LONGEST_PAUSE, self._pause * 2))
+                continue
+            self._pause = FIRST_PAUSE
+            with trio.move_on_after(self._confirm_pause / MS_PER_SECOND):
+                await self._doubted.wait()
+
+    async def _refresh(self) -> bool:
+        """Ask one source after the other; return whether one had a fresh view."""
+        for source in self._sources():
             try:
-                missed = await self._read(NO_WAIT)
+                age = await self._read(source)
             except HistoryLostError as error:
-                self._doubt(error)
-                continue
+                self._lose_history(error)
+                return await self._refresh()
             except PlatformUnavailableError as error:
-                self._doubt(error)
-                await self._wait_after_failure()
+                self._lose(source, error)
                 continue
-            self._confirmed(started)
-            if missed and started - self._watch_started > DEAF_AFTER:
-                log_event("platform_watch_deaf", missed=missed)
-                self._watch.cancel()
-            with trio.move_on_after(self._confirm_pause / MS_PER_SECOND):
-                await self._doubted.wait()
+            if source is self._store:
+                self._fresh.set()
+            elif age > self._max_age:
+                self._lose(source, PlatformUnavailableError(f"view is {age} ms old"))
+                continue
+            if self._choice.succeeded(source):
+                log_event("source_regained", source=source.name)
+            self._first_view.set()
+            return True
+        return False
 
-    async def _read(self, wait: Milliseconds) -> int:
-        """Take what changed behind the position; return how many changes."""
-        self._metrics.count("platform_reads")
-        position, listed = self._position, self._listed
-        if position is None:
-            return await self._read_all()
-        changes = await self._source.changes(position, wait)
-        if listed != self._listed:
-            # A list that was read meanwhile is newer than these changes.
-            return 0
-        for fact in changes.facts:
-            self._take(fact)
-        self._position = max(position, changes.position, self._position or 0)
-        return len(changes.facts)
-
-    def _confirmed(self, started: Milliseconds) -> None:
-        """Record that a call begun at ``started`` showed the present state."""
-        self._view.confirm(started)
+    def _sources(self) -> list[PlatformSource]:
+        """Return the sources to try; the first list is read at the store.
+
+        When all VMs start at once, none has a view to ask for yet.
+        """
+        order = self._choice.order(self._clock.now())
+        if self._must_list:
+            order.sort(key=lambda source: source is not self._store)
+        return order
+
+    async def _read(self, source: PlatformSource) -> Milliseconds:
+        """Read what is new at ``source``; return how old its view was."""
+        started = self._clock.now()
+        if self._must_list:
+            age = await self._read_all(source)
+        else:
+            missed, age = await self._read_changes(source, NO_WAIT)
+            self._doubt_watch(source, missed, started)
+        self._view.confirm(Milliseconds(started - age))
         self._view.forget_gone(started)
-        if self._lost_at is not None:
-            log_event("platform_regained", lost_ms=self._clock.now() - self._lost_at)
-        self._lost_at = None
-        self._pause = FIRST_PAUSE
-        self._fresh.set()
-        self._first_view.set()
+        return age
+
+    async def _read_all(self, source: PlatformSource) -> Milliseconds:
+        self._count(source)
+        state = await source.read_all()
+        self._lists += 1
+        self._must_list = False
+        for entry in self._table.replace(state.entries, state.position):
+            self._take(entry)
+        return state.age
+
+    async def _read_changes(
+        self, source: PlatformSource, wait: Milliseconds
+    ) -> tuple[int, Milliseconds]:
+        """Take what changed; return how many changes, and the age of the answer."""
+        self._count(source)
+        lists = self._lists
+        changes = await source.changes(self._table.position, wait)
+        if lists != self._lists:
+            # A list that was read meanwhile is newer than these changes.
+            return 0, changes.age
+        if changes.in_outage:
+            self._view.note_outage(self._clock.now())
+        new = self._table.take(changes.entries, changes.position)
+        for entry in new:
+            self._take(entry)
+        return len(new), changes.age
 
-    def _doubt(self, error: HistoryLostError | PlatformUnavailableError) -> None:
-        """Have the view confirmed at once; watches wait until it is."""
+    def _doubt_watch(
+        self, source: PlatformSource, missed: int, started: Milliseconds
+    ) -> None:
+        """Replace a watch that did not tell of changes that are there."""
+        is_deaf = missed and started - self._watch_started > DEAF_AFTER
+        if self._follows and source is self._store and is_deaf:
+            log_event("platform_watch_deaf", missed=missed)
+            self._watch.cancel()
+
+    def _lose(self, source: PlatformSource, error: PlatformUnavailableError) -> None:
+        """Take note that a source gave no fresh view."""
         now = self._clock.now()
-        self._metrics.count("platform_failures")
-        self._fresh = trio.Event()
-        self._doubted.set()
-        if isinstance(error, HistoryLostError):
-            log_event("platform_history_lost", detail=str(error))
-            self._position = None
-            return
-        self._view.note_outage(now)
-        if self._lost_at is None:
-            self._lost_at = now
+        self._metrics.count("source_failures", source=source.name)
+        if source is self._store:
+            self._view.note_outage(now)
+            self._fresh = trio.Event()
+            self._doubted.set()
+        if self._choice.failed(source, now):
             log_event(
-                "platform_lost", detail=str(error), view_age_ms=self._view.age(now)
+                "source_lost",
+                source=source.name,
+                detail=str(error),
+                view_age_ms=self._view.age(now),
             )
 
-    async def _wait_after_failure(self) -> None:
-        """Retry after an exponential delay with jitter."""
-        await trio.sleep(spread(self._pause, self._rng) / MS_PER_SECOND)
-        self._pause = Milliseconds(min(LONGEST_PAUSE, self._pause * 2))
-
-    async def _read_all(self) -> int:
-        state = await self._source.read_all()
-        self._listed += 1
-        if state.catalogue is not None:
-            self._take(state.catalogue)
-        for record in state.targets:
-            self._take(record)
-        listed = frozenset(record.id for record in state.targets)
-        for target in self._view.keep_only(listed, self._clock.now()):
-            log_event("target_gone", target=target, reason="not listed")
-        self._position = state.position
-        return 0
-
-    def _take(self, fact: PlatformFact) -> None:
-        """Take one fact into the view."""
+    def _lose_history(self, error: HistoryLostError) -> None:
+        """Have the whole state read again."""
+        log_event("platform_history_lost", detail=str(error))
+        self._must_list = True
+        self._fresh = trio.Event()
+        self._doubted.set()
+
+    def _count(self, source: PlatformSource) -> None:
+        kind = "store" if source is self._store else "peer"
+        self._metrics.count("platform_reads", source=kind)
+
+    def _take(self, entry: Entry) -> None:
+        """Take one entry into the view."""
         now = self._clock.now()
+        fact = self._decode(entry)
         if isinstance(fact, Catalogue):
             if self._view.apply(fact):
                 log_event(
                     "settings_in_force",
                     version=fact.version,
+                    revision=entry.revision,
                     routes=len(fact.routes),
                     view_age_ms=self._view.age(now),
                 )
         elif isinstance(fact, TargetGone):
             if self._view.remove_target(fact.id, now):
-                log_event("target_gone", target=fact.id, reason="entry removed")
-        else:
-            self._take_target(fact, now)
+                log_event("target_gone", target=fact.id, revision=entry.revision)
+        elif isinstance(fact, TargetRecord):
+            self._take_target(fact, entry, now)
 
-    def _take_target(self, record: TargetRecord, now: Milliseconds) -> None:
+    def _take_target(
+        self, record: TargetRecord, entry: Entry, now: Milliseconds
+    ) -> None:
         born_before = self._view.born_ms(record.id)
         if not self._view.put_target(record, now):
             return
@@ -213,4 +284,14 @@
             address=record.address,
             state=record.state.value,
             born_ms=record.born_ms,
+            revision=entry.revision,
         )
+
+
+def confirm_pause(settings: EdgeSettings) -> Milliseconds:
+    """Return the pause between two confirmations of the view."""
+    longest = settings.key_lifetime * LONE_SHARE
+    if not settings.seeds or settings.peers is None:
+        return Milliseconds(round(longest))
+    share = SEED_SHARE if settings.reads_platform else ASKING_SHARE
+    return Milliseconds(round(min(longest, settings.apply_within * share)))
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -14,12 +14,16 @@
 from yuccafold._supervisor import ChildSpec
 from yuccafold._supervisor import Supervisor
 from yuccafold.edge._caller import EdgeCaller
+from yuccafold.edge._entries import EntryTable
 from yuccafold.edge._forward import EdgeForwarder
 from yuccafold.edge._gate import Gate
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import CallerLimits
 from yuccafold.edge._pages import PageServer
+from yuccafold.edge._peers import PeerSource
+from yuccafold.edge._peers import ViewPage
 from yuccafold.edge._platform_source import CallTranslator
+from yuccafold.edge._platform_source import Decode
 from yuccafold.edge._platform_source import PlatformSource
 from yuccafold.edge._reader import ViewReader
 from yuccafold.edge._settings import EdgeSettings
@@ -32,7 +36,8 @@
 MAX_CALLERS = 1_800
 """Open connections of callers; each may need one more to a target."""
 
-MAX_PAGE_CONNECTIONS = 16
+MAX_PAGE_CONNECTIONS = 512
+"""Open connections of the balancer, of operators and of VMs that ask a seed."""
 
 NOTICE_PERIOD = Milliseconds(3_300)
 """How long new calls are taken after a stop began: the platform's balancer asks
@@ -59,13 +64,13 @@
     def __init__(
         self,
         settings: EdgeSettings,
-        source: PlatformSource,
+        store: PlatformSource,
+        decode: Decode,
         translator: CallTranslator,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._settings = settings
-        self._source = source
         self._translator = translator
         self._clock = clock
         self._rng = rng
@@ -77,8 +82,18 @@
         self._forwarder = EdgeForwarder(
             clock, rng, settings, self._targets, self._pool, translator, self._metrics
         )
+        self._table = EntryTable()
         self._reader = ViewReader(
-            clock, rng, settings, source, self._view, self._targets, self._metrics
+            clock,
+            rng,
+            settings,
+            store,
+            [PeerSource(seed) for seed in settings.seeds if seed != settings.peers],
+            decode,
+            self._table,
+            self._view,
+            self._targets,
+            self._metrics,
         )
         self._callers: set[EdgeCaller] = set()
         self._draining = trio.Event()
@@ -131,6 +146,8 @@
             zone=settings.zone,
             callers=callers.address,
             platform=settings.platform,
+            reads_platform=settings.reads_platform,
+            seeds=",".join(map(str, settings.seeds)),
         )
         task_status.started(callers.address)
         supervisor = Supervisor("edge", self._clock, self._rng)
@@ -153,6 +170,9 @@
     def _page_servers(self) -> list[tuple[SocketAddress, PageServer]]:
         settings = self._settings
         servers = [(settings.readiness, PageServer(self._readiness))]
+        if settings.peers is not None:
+            page = ViewPage(self._clock, self._table, self._view)
+            servers.append((settings.peers, PageServer(page.answer)))
         if settings.metrics_port:
             address = SocketAddress(settings.readiness.host, settings.metrics_port)
             servers.append((address, PageServer(self._metrics_page)))
@@ -186,10 +206,10 @@
         finally:
             self._callers.discard(caller)
 
-    def _readiness(self) -> tuple[int, str]:
+    def _readiness(self, _: str) -> tuple[int, str]:
         return (200, "ready\n") if self.ready else (503, "not ready\n")
 
-    def _metrics_page(self) -> tuple[int, str]:
+    def _metrics_page(self, _: str) -> tuple[int, str]:
         targets, leaving = self._view.counts()
         self._metrics.gauge("connections", len(self._callers))
         self._metrics.gauge("settings_version", self._view.version)
--- a/src/yuccafold/edge/_settings.py
+++ b/src/yuccafold/edge/_settings.py
@@ -40,6 +40,8 @@
     the platform older than that serves no call with a key. ``apply_within`` is
     how soon a configuration is in force. ``drain_within`` is how soon a leaving
     target gets nothing more. ``retry_ratio`` is the fleet's share of retries.
+    ``peers`` is where other VMs ask this one for its view; ``seeds`` are the
+    addresses of VMs to ask.
     """
 
     vm: VmId
@@ -56,3 +58,10 @@
     retry_slack: float
     load_multiple: float
     metrics_port: int = 0
+    peers: SocketAddress | None = None
+    seeds: tuple[SocketAddress, ...] = ()
+
+    @property
+    def reads_platform(self) -> bool:
+        """Whether this VM follows the platform itself; others ask the seeds."""
+        return not self.seeds or self.peers is None or self.peers in self.seeds
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -79,6 +79,10 @@
         """Record that the platform could not be read just now."""
         self._outage_until = Milliseconds(now + LAPSED_ENTRY_GRACE)
 
+    def in_outage(self, now: Milliseconds) -> bool:
+        """Return whether entries may have lapsed without cause just now."""
+        return now < self._outage_until
+
     def apply(self, catalogue: Catalogue) -> bool:
         """Take a catalogue unless it is older; return whether it is new."""
         if self._catalogue is not None and catalogue.version <= self.version:
@@ -111,23 +115,10 @@
             return False
         if known.leaving_since is None:
             known.leaving_since = now
-            known.lapsed = now < self._outage_until
+            known.lapsed = self.in_outage(now)
         self._index()
         return True
 
-    def keep_only(
-        self, listed: frozenset[TargetId], now: Milliseconds
-    ) -> list[TargetId]:
-        """Take a whole list; return the targets that left, as they are not in it."""
-        gone = [
-            target
-            for target, known in self._targets.items()
-            if target not in listed and known.leaving_since is None
-        ]
-        for target in gone:
-            self.remove_target(target, now)
-        return gone
-
     def born_ms(self, target: TargetId) -> int | None:
         """Return when a target started, ``None`` if it is not known."""
         known = self._targets.get(target)
--- a/src/yuccafold/http/__init__.py
+++ b/src/yuccafold/http/__init__.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from yuccafold.http._client import CallFailedError
+from yuccafold.http._client import CallLimits
+from yuccafold.http._client import KeptConnection
 from yuccafold.http._head import METHODS
 from yuccafold.http._head import REASONS
 from yuccafold.http._head import CallerGone
 from yuccafold.http._head import HeadFault
 from yuccafold.http._head import head_fault
-from yuccafold.http._listener import BACKLOG
 from yuccafold.http._listener import Listener
 from yuccafold.http._pool import ConnectionPool
 from yuccafold.http._pool import IdleConnection
@@ -18,9 +20,10 @@
 from yuccafold.http._stream import first_value
 
 __all__ = [
-    "BACKLOG",
     "METHODS",
     "REASONS",
+    "CallFailedError",
+    "CallLimits",
     "CallerGone",
     "ConnectionPool",
     "HeadFault",
@@ -28,6 +31,7 @@
     "Headers",
     "HttpStream",
     "IdleConnection",
+    "KeptConnection",
     "Listener",
     "end_to_end",
     "first_value",
--- /dev/null
+++ b/src/yuccafold/http/_client.py
@@ -0,0 +1,93 @@
+"""Calls that get JSON, over one kept connection."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import final
+
+import h11
+import trio
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Milliseconds
+from yuccafold.http._stream import HttpStream
+
+MAX_HEAD_BYTES = 65_536
+
+
+class CallFailedError(Exception):
+    """A call that got no whole answer in time."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """How long connecting and answering may take."""
+
+    connect: Milliseconds
+    answer: Milliseconds
+
+
+@final
+class KeptConnection:
+    """One connection to a server, for one call at a time; opened when needed."""
+
+    def __init__(self, host: str, port: int, limits: CallLimits) -> None:
+        self._host = host
+        self._port = port
+        self._limits = limits
+        self._http: HttpStream | None = None
+
+    async def get(
+        self, target: str, wait: Milliseconds = Milliseconds(0)
+    ) -> tuple[int, bytes]:
+        """Return status and body; ``wait`` is what a long poll adds to the limit.
+
+        Raises ``CallFailedError`` when there is no whole answer in time.
+        """
+        try:
+            with trio.fail_after((self._limits.answer + wait) / MS_PER_SECOND):
+                return await self._call(target)
+        except trio.TooSlowError as error:
+            await self.close()
+            raise CallFailedError("no answer in time") from error
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError) as error:
+            await self.close()
+            raise CallFailedError(repr(error)) from error
+        except BaseException:
+            await self.close()
+            raise
+
+    async def close(self) -> None:
+        """Close the connection; the next call opens another."""
+        http, self._http = self._http, None
+        if http is not None:
+            await http.close()
+
+    async def _call(self, target: str) -> tuple[int, bytes]:
+        http = await self._connection()
+        host = ("Host", f"{self._host}:{self._port}")
+        request = h11.Request(method="GET", target=target, headers=[host])
+        await http.send(request, h11.EndOfMessage())
+        status, body = 0, bytearray()
+        while not isinstance(event := await http.next_event(), h11.EndOfMessage):
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("closed without an answer")
+        if http.http.our_state is h11.DONE and http.http.their_state is h11.DONE:
+            http.http.start_next_cycle()
+        else:
+            await self.close()
+        return status, bytes(body)
+
+    async def _connection(self) -> HttpStream:
+        if self._http is not None and not self._http.is_clean():
+            await self.close()
+        if self._http is None:
+            with trio.fail_after(self._limits.connect / MS_PER_SECOND):
+                stream = await trio.open_tcp_stream(self._host, self._port)
+            self._http = HttpStream(stream, h11.CLIENT, MAX_HEAD_BYTES)
+        return self._http
--- a/src/yuccafold/platform/_settings.py
+++ b/src/yuccafold/platform/_settings.py
@@ -40,6 +40,8 @@
         callers=read("listen_addresses.front", SocketAddress.parse),
         readiness=read("listen_addresses.readiness", SocketAddress.parse),
         platform=read("platform.address", SocketAddress.parse),
+        peers=_address(fields.get("listen_addresses.control", "")),
+        seeds=_addresses(fields.get("seeds", "")),
         key_lifetime=read("bounds.revocation_ms", _milliseconds),
         fails_closed=read("bounds.fail_closed", _truth),
         apply_within=read("bounds.config_apply_ms", _milliseconds),
@@ -52,6 +54,14 @@
     )
 
 
+def _address(text: str) -> SocketAddress | None:
+    return SocketAddress.parse(text) if text else None
+
+
+def _addresses(text: str) -> tuple[SocketAddress, ...]:
+    return tuple(SocketAddress.parse(part) for part in text.split(",") if part)
+
+
 def _milliseconds(text: str) -> Milliseconds:
     return Milliseconds(round(float(text)))
 
--- a/testing/edge/test_router.py
+++ b/testing/edge/test_router.py
@@ -21,6 +21,7 @@
 from yuccafold.edge import SocketAddress
 from yuccafold.platform import HeaderTranslator
 from yuccafold.platform import StoreSource
+from yuccafold.platform import decode
 from yuccafold.standins import Faults
 from yuccafold.standins import Mood
 from yuccafold.standins import PlatformStore
@@ -91,6 +92,7 @@
         router = EdgeRouter(
             edge_settings(**(values | (settings or {}))),
             StoreSource(address),
+            decode,
             HeaderTranslator(),
             MonotonicClock(),
             random.Random(1),
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -16,8 +16,10 @@
 from yuccafold.edge import Repeatability
 from yuccafold.edge import SocketAddress
 from yuccafold.edge import TargetGone
+from yuccafold.edge import TargetRecord
 from yuccafold.edge import TargetState
 from yuccafold.platform import StoreSource
+from yuccafold.platform import decode
 from yuccafold.standins import Faults
 from yuccafold.standins import PlatformStore
 from yuccafold.standins import PlatformStoreSettings
@@ -32,6 +34,19 @@
 SOON = Milliseconds(20)
 
 
+def facts(entries):
+    return [fact for fact in map(decode, entries) if fact is not None]
+
+
+def catalogue_of(state):
+    (found,) = (fact for fact in facts(state.entries) if isinstance(fact, Catalogue))
+    return found
+
+
+def target_ids(state):
+    return [fact.id for fact in facts(state.entries) if isinstance(fact, TargetRecord)]
+
+
 @asynccontextmanager
 async def store_with(*targets, page_items=500, config=CONFIG):
     store = PlatformStore(PlatformStoreSettings(page_items=page_items))
@@ -49,7 +64,7 @@
 @on_trio
 async def test_kinds_of_routes_say_what_may_be_repeated():
     async with store_with() as (_, source):
-        found = (await source.read_all()).catalogue
+        found = catalogue_of(await source.read_all())
         kinds = {route.prefix: route.repeatability for route in found.routes}
         assert kinds == {
             "/look/": Repeatability.IDEMPOTENT,
@@ -67,25 +82,25 @@
     names = [f"i-{n}" for n in range(7)]
     async with store_with(*names, page_items=3) as (store, source):
         state = await source.read_all()
-        assert [record.id for record in state.targets] == names
+        assert target_ids(state) == names
         assert store.calls == ("/-/kv-range",) * 3
 
 
 @on_trio
-async def test_changes_come_in_order_and_once():
+async def test_changes_come_in_order():
     async with store_with("i-1") as (store, source):
         state = await source.read_all()
         store.put("servers/i-1", wire_target("10.0.0.1:80", state="draining"))
         store.remove("servers/i-1")
         store.put("op/config", wire_config(version=9))
         changes = await source.changes(state.position, SOON)
-        draining, gone, config = changes.facts
+        draining, gone, config = facts(changes.entries)
         assert draining.state is TargetState.DRAINING
         assert gone == TargetGone("i-1")
         assert isinstance(config, Catalogue)
         assert config.version == 9
-        again = await source.changes(state.position, SOON)
-        assert again.facts == ()
+        again = await source.changes(changes.position, SOON)
+        assert again.entries == ()
 
 
 @on_trio
@@ -93,7 +108,7 @@
     async with store_with() as (store, source):
         state = await source.read_all()
         changes = await source.changes(state.position, SOON)
-        assert changes.facts == ()
+        assert changes.entries == ()
         assert changes.position == store.revision
 
 
@@ -126,7 +141,7 @@
             with pytest.raises(PlatformUnavailableError, match=str(status)):
                 await source.read_all()
             store.refuse_with = None
-            assert (await source.read_all()).catalogue is not None
+            assert catalogue_of(await source.read_all())
 
     run()
 
@@ -147,7 +162,7 @@
             with pytest.raises(PlatformUnavailableError):
                 await source.read_all()
             store.server.set_faults(Faults())
-            assert (await source.read_all()).catalogue is not None
+            assert catalogue_of(await source.read_all())
 
     run()
 
@@ -170,10 +185,10 @@
         async with store_with("i-1", "i-2") as (store, source):
             store.put("servers/i-1", value)
             state = await source.read_all()
-            assert [record.id for record in state.targets] == ["i-2"]
+            assert target_ids(state) == ["i-2"]
             store.put("servers/i-2", value)
             changes = await source.changes(state.position, SOON)
-            assert changes.facts == (TargetGone("i-2"),)
+            assert facts(changes.entries) == [TargetGone("i-2")]
 
     run()
 
@@ -183,7 +198,8 @@
     async with store_with() as (store, source):
         state = await source.read_all()
         store.put("op/config", b"{}")
-        assert (await source.changes(state.position, SOON)).facts == ()
+        changes = await source.changes(state.position, SOON)
+        assert facts(changes.entries) == []
 
 
 @on_trio
@@ -191,5 +207,5 @@
     split = [{"service": "desk", "weight": 90}, {"service": "next", "weight": 10}]
     config = wire_config(wire_route("/look/", "safe", traffic_split=split))
     async with store_with(config=config) as (_, source):
-        (route,) = (await source.read_all()).catalogue.routes
+        (route,) = catalogue_of(await source.read_all()).routes
         assert route.services == (("desk", 90), ("next", 10))
