Pass on differences of long entries; a soak of real processes under faults

Ruled out: compression alone (27 VMs a seed times some 27 KB in each version is most of a 10 Mbit/s link), and asking less often (a change must be in force in time).

Change: seeds keep a few earlier versions of long values and send what turns the asker's version into the new one.

--- a/src/yuccafold/cli/_main.py
+++ b/src/yuccafold/cli/_main.py
@@ -42,6 +42,11 @@
             "run the delivery decisions under seeded faults",
             "yuccafold.cli._chaos",
         ),
+        Command(
+            "soak",
+            "run real routers under seeded faults from outside",
+            "yuccafold.cli._soak",
+        ),
         Command("bench", "measure on this machine", "yuccafold.cli._bench"),
     )
 }
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -16,6 +16,11 @@
 
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
+from yuccafold._log import log_event
+from yuccafold.edge._delta import Delta
+from yuccafold.edge._delta import apply_delta
+from yuccafold.edge._delta import make_delta
+from yuccafold.edge._entries import LONG_VALUE_BYTES
 from yuccafold.edge._entries import EntryTable
 from yuccafold.edge._platform_source import Entry
 from yuccafold.edge._platform_source import PlatformChanges
@@ -35,10 +40,14 @@
 
 @final
 class PeerSource:
-    """Reads the platform's entries from another VM."""
+    """Reads the platform's entries from another VM.
 
-    def __init__(self, address: SocketAddress) -> None:
+    ``table`` holds what this VM has, which differences build on.
+    """
+
+    def __init__(self, address: SocketAddress, table: EntryTable) -> None:
         self._address = address
+        self._table = table
         self._connection = KeptConnection(address.host, address.port, LIMITS)
 
     @property
@@ -71,7 +80,7 @@
             raise PlatformUnavailableError(f"status {status}")
         try:
             answer = json.loads(body)
-            entries = tuple(_entry(row) for row in answer["entries"])
+            entries = tuple(self._entry(row) for row in answer["entries"])
             changes = PlatformChanges(
                 entries,
                 int(answer["position"]),
@@ -82,6 +91,18 @@
         except (ValueError, TypeError, KeyError, zlib.error) as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
 
+    def _entry(self, row: dict[str, Any]) -> Entry:
+        key, revision = str(row["key"]), int(row["revision"])
+        if "delta" in row:
+            base = self._table.version_at(key, int(row["base"]))
+            if base is None or base.revision != row["base"] or base.value is None:
+                raise ValueError(f"expected {key} of revision {row['base']} here")
+            return Entry(key, revision, apply_delta(base.value, row["delta"]))
+        if row.get("value") is None:
+            return Entry(key, revision, None)
+        packed = base64.b64decode(row["value"], validate=True)
+        return Entry(key, revision, zlib.decompress(packed))
+
 
 @final
 class ViewPage:
@@ -91,7 +112,8 @@
         self._clock = clock
         self._table = table
         self._view = view
-        self._encoded: dict[str, tuple[int, str]] = {}
+        self._packed: dict[str, tuple[int, str]] = {}
+        self._deltas: dict[str, dict[tuple[int, int], Delta]] = {}
 
     def answer(self, target: str) -> tuple[int, str]:
         """Return status and body for a request of another VM."""
@@ -100,38 +122,49 @@
         if age is None:
             return 503, "no view yet\n"
         after = parse_qs(urlsplit(target).query).get("after", [""])[0]
-        known = self._table.since(int(after)) if after.isdigit() else None
+        position = int(after) if after.isdigit() else 0
+        known = self._table.since(position) if position else None
         entries = self._table.present() if known is None else known
+        base = 0 if known is None else position
         value = {
             "position": self._table.position,
             "age_ms": age,
             "in_outage": self._view.in_outage(now),
             "whole": known is None,
-            "entries": [
-                [entry.key, entry.revision, self._encode(entry)] for entry in entries
-            ],
+            "entries": [self._row(entry, base) for entry in entries],
         }
         return 200, json.dumps(value)
 
-    def _encode(self, entry: Entry) -> str | None:
-        """Return an entry's value, compressed once for all VMs that ask.
-
-        A configuration of some hundred routes shrinks to a tenth, which matters
-        on links of a few Mbit/s.
-        """
+    def _row(self, entry: Entry, position: int) -> dict[str, Any]:
+        """Return an entry for a VM that has everything up to ``position``."""
+        row: dict[str, Any] = {"key": entry.key, "revision": entry.revision}
         if entry.value is None:
-            self._encoded.pop(entry.key, None)
-            return None
-        revision, text = self._encoded.get(entry.key, (0, ""))
+            self._packed.pop(entry.key, None)
+            return row
+        base = self._table.version_at(entry.key, position)
+        if base is not None and len(base.value or b"") >= LONG_VALUE_BYTES:
+            try:
+                delta = self._delta(entry, base)
+                return row | {"base": base.revision, "delta": delta}
+            except UnicodeDecodeError as error:
+                log_event("entry_is_no_text", key=entry.key, error=str(error))
+        return row | {"value": self._pack(entry)}
+
+    def _delta(self, entry: Entry, base: Entry) -> Delta:
+        """Return the differences between two versions, made once for all that ask."""
+        versions = (base.revision, entry.revision)
+        deltas = self._deltas.setdefault(entry.key, {})
+        if any(revision != entry.revision for _, revision in deltas):
+            deltas.clear()
+        if versions not in deltas:
+            deltas[versions] = make_delta(base.value or b"", entry.value or b"")
+        return deltas[versions]
+
+    def _pack(self, entry: Entry) -> str:
+        """Return an entry's value, compressed once for all VMs that ask."""
+        revision, text = self._packed.get(entry.key, (0, ""))
         if revision != entry.revision:
-            text = base64.b64encode(zlib.compress(entry.value)).decode()
-            self._encoded[entry.key] = (entry.revision, text)
+            packed = zlib.compress(entry.value or b"")
+            text = base64.b64encode(packed).decode()
+            self._packed[entry.key] = (entry.revision, text)
         return text
-
-
-def _entry(row: list[Any]) -> Entry:
-    key, revision, text = row
-    if text is None:
-        return Entry(str(key), int(revision), None)
-    value = zlib.decompress(base64.b64decode(text, validate=True))
-    return Entry(str(key), int(revision), value)
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -88,7 +88,11 @@
             rng,
             settings,
             store,
-            [PeerSource(seed) for seed in settings.seeds if seed != settings.peers],
+            [
+                PeerSource(seed, self._table)
+                for seed in settings.seeds
+                if seed != settings.peers
+            ],
             decode,
             self._table,
             self._view,
--- /dev/null
+++ b/src/yuccafold/soak/_vm.py
@@ -0,0 +1,139 @@
+"""One router process, its settings, and the relay between it and the store."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import IO
+from typing import final
+
+import trio
+
+from yuccafold.soak._settings import SoakSettings
+from yuccafold.standins import Relay
+
+HOST = "127.0.0.1"
+END_TIMEOUT_S = 3.0
+"""How much longer than its grace period a process may take to end."""
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+@final
+class SoakVm:
+    """Starts, signals and ends one router process; never any other process."""
+
+    def __init__(self, number: int, settings: SoakSettings, folder: Path) -> None:
+        self._name = f"vm-{number}"
+        self._settings = settings
+        self._folder = folder
+        self._ports = {role: free_port() for role in ("front", "readiness", "control")}
+        self._process: subprocess.Popen[bytes] | None = None
+        self._log: IO[bytes] | None = None
+        self.relay: Relay | None = None
+
+    @property
+    def name(self) -> str:
+        """The name of the VM."""
+        return self._name
+
+    @property
+    def callers(self) -> tuple[str, int]:
+        """Where callers connect."""
+        return HOST, self._ports["front"]
+
+    @property
+    def peers(self) -> str:
+        """Where other VMs ask."""
+        return f"{HOST}:{self._ports['control']}"
+
+    @property
+    def log_path(self) -> Path:
+        """Where the process's log is kept."""
+        return self._folder / f"{self._name}.log"
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Write the settings file in the platform's form."""
+        if self.relay is None:
+            raise AssertionError("expected a relay to the store first")
+        settings = self._settings
+        lines = {
+            "node_name": self._name,
+            "zone": "a",
+            "listen_addresses.front": f"{HOST}:{self._ports['front']}",
+            "listen_addresses.readiness": f"{HOST}:{self._ports['readiness']}",
+            "listen_addresses.control": self.peers,
+            "seeds": ",".join(seeds),
+            "platform.address": self.relay.address,
+            "bounds.revocation_ms": settings.key_lifetime_ms,
+            "bounds.fail_closed": "true",
+            "bounds.config_apply_ms": settings.apply_ms,
+            "bounds.drain_timeout_ms": settings.drain_ms,
+            "bounds.grace_period_s": settings.grace_ms / 1000,
+            "bounds.retry_budget_ratio": 0.2,
+            "bounds.retry_budget_slack": 56,
+            "bounds.cap_x": 2,
+        }
+        text = "".join(f"{name}={value}\n" for name, value in lines.items())
+        self._settings_path.write_text(text)
+
+    @property
+    def _settings_path(self) -> Path:
+        return self._folder / f"{self._name}.conf"
+
+    def start(self) -> None:
+        """Start the process; its output goes to a file."""
+        if self._log is None:
+            self._log = self.log_path.open("ab")
+        environment = os.environ | {
+            "YUCCAFOLD_SETTINGS": str(self._settings_path),
+            "YUCCAFOLD_LISTEN": f"{HOST}:{self._ports['front']}",
+        }
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "yuccafold", "router"],
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def has_ended(self) -> bool:
+        """Return whether no process runs."""
+        return self._process is None or self._process.poll() is not None
+
+    async def stop(self) -> bool:
+        """Ask the process to stop; return whether it ended in time by itself."""
+        self.signal(signal.SIGTERM)
+        with trio.move_on_after(self._settings.grace_ms / 1000 + END_TIMEOUT_S):
+            while not self.has_ended():
+                await trio.sleep(0.05)
+        ended = self.has_ended()
+        self.kill()
+        return ended
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        if self._process is not None:
+            self.signal(signal.SIGKILL)
+            self._process.wait()
+
+    def close(self) -> None:
+        """Kill the process and close its log."""
+        self.kill()
+        if self._log is not None:
+            self._log.close()
+            self._log = None
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -26,6 +26,7 @@
 from yuccafold.standins._http import BoundAddress
 from yuccafold.standins._http import Exchange
 from yuccafold.standins._http import HttpServer
+from yuccafold.standins._http import ServedRequest
 from yuccafold.standins._http import ServerSettings
 from yuccafold.standins._orders import EngineState
 from yuccafold.standins._orders import Order
@@ -85,6 +86,7 @@
     "Priority",
     "Relay",
     "RunState",
+    "ServedRequest",
     "ServerSettings",
     "ServiceCall",
     "SettingsFaults",
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import final
@@ -54,8 +55,13 @@
 class PlatformTarget:
     """Serves calls and keeps what it was sent and what it ran."""
 
-    def __init__(self, settings: PlatformTargetSettings) -> None:
+    def __init__(
+        self,
+        settings: PlatformTargetSettings,
+        on_run: Callable[[str, ServedRequest], None] | None = None,
+    ) -> None:
         self._settings = settings
+        self._on_run = on_run
         self._server = HttpServer(settings.server, self._handle)
         self._received: list[ServedRequest] = []
         self._runs: list[str] = []
@@ -104,6 +110,8 @@
         if self.mood is Mood.FULL:
             return await exchange.respond(503, b"", (("X-Not-Executed", "1"),))
         self._runs.append(attempt)
+        if self._on_run is not None:
+            self._on_run(self.id, request)
         try:
             await trio.sleep(self._settings.work_ms / MS_PER_SECOND)
             await self._answer(exchange, attempt)
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -21,10 +21,11 @@
 NO_WAIT = Milliseconds(0)
 
 
-async def ask(page, question):
+async def ask(page, question, table=None):
     """Serve ``page`` as a VM does and return what ``question(source)`` gives."""
     listener = await Listener.open("127.0.0.1:0", 4)
-    source = PeerSource(SocketAddress.parse(listener.address))
+    address = SocketAddress.parse(listener.address)
+    source = PeerSource(address, table or EntryTable())
     unavailable = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(listener.run, PageServer(page).serve)
@@ -74,6 +75,44 @@
     assert len(page.answer("/view?after=3")[1]) < len(value) / 10
 
 
+def config(routes, changed=()):
+    rows = [f'{{"name":"r{n}","v":{int(n in changed)}}}' for n in range(routes)]
+    return f'{{"routes":[{",".join(rows)}]}}'.encode()
+
+
+@on_trio
+async def test_new_version_of_a_long_entry_travels_as_its_differences():
+    page = view_page(confirmed_at=400)
+    asker = EntryTable()
+    versions = [config(900), config(900, {7}), config(905, {7, 400})]
+    for revision, value in enumerate(versions, 11):
+        page._table.take([Entry("op/config", revision, value)], revision)
+    asker.take([Entry("op/config", 11, versions[0])], 11)
+    changes = await ask(page.answer, lambda source: source.changes(11, NO_WAIT), asker)
+    assert changes.entries == (Entry("op/config", 13, versions[2]),)
+    assert len(page.answer("/view?after=11")[1]) < 1_000
+
+
+@on_trio
+async def test_long_entry_that_is_no_text_is_passed_on_whole():
+    page = view_page(confirmed_at=400)
+    values = [b"\xff" * 9_000, b"\xfe" * 9_000]
+    for revision, value in enumerate(values, 11):
+        page._table.take([Entry("servers/x", revision, value)], revision)
+    changes = await ask(page.answer, lambda source: source.changes(11, NO_WAIT))
+    assert changes.entries == (Entry("servers/x", 12, values[1]),)
+
+
+@on_trio
+async def test_differences_to_what_this_vm_lacks_are_no_answer():
+    page = view_page(confirmed_at=400)
+    for revision in (11, 12):
+        value = config(900, {revision})
+        page._table.take([Entry("op/config", revision, value)], revision)
+    with pytest.raises(PlatformUnavailableError, match="revision 11"):
+        await ask(page.answer, lambda source: source.changes(11, NO_WAIT))
+
+
 @on_trio
 async def test_vm_without_a_view_is_no_source():
     page = view_page()
@@ -93,7 +132,7 @@
                 "age_ms": 2,
                 "in_outage": False,
                 "whole": False,
-                "entries": [["a", 1, "not base64!"]],
+                "entries": [{"key": "a", "revision": 1, "value": "not base64!"}],
             }
         ),
     ],
@@ -110,6 +149,6 @@
 
 @on_trio
 async def test_vm_that_is_gone_is_no_source():
-    source = PeerSource(SocketAddress("127.0.0.1", 1))
+    source = PeerSource(SocketAddress("127.0.0.1", 1), EntryTable())
     with pytest.raises(PlatformUnavailableError):
         await source.read_all()
--- a/testing/edge/test_reader.py
+++ b/testing/edge/test_reader.py
@@ -35,11 +35,18 @@
         return Milliseconds(round(trio.current_time() * 1000))
 
 
-class Store:
-    """A store whose changes, silence and lost history a test sets.
+FACTS = []
+
+
+def decode(entry):
+    """Return the fact that an entry of ``Store`` stands for."""
+    if entry.value is None:
+        return TargetGone(entry.key.split("/")[1])
+    return FACTS[int(entry.value)]
 
-    Entries hold facts in place of bytes.
-    """
+
+class Store:
+    """A store whose changes, silence and lost history a test sets."""
 
     name = "store"
 
@@ -62,7 +69,9 @@
 
     def put(self, key, fact):
         self._revision += 1
-        self.table.take([Entry(key, self._revision, fact)], self._revision)
+        value = None if fact is None else str(len(FACTS)).encode()
+        FACTS.append(fact)
+        self.table.take([Entry(key, self._revision, value)], self._revision)
         self._changed.set()
         self._changed = trio.Event()
 
@@ -136,7 +145,7 @@
             settings,
             store,
             peers,
-            lambda entry: entry.value or TargetGone(entry.key.split("/")[1]),
+            decode,
             self.table,
             self.view,
             Targets(self.view, settings, rng),
