--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(RUN) -m yuccafold demo
 
 # Each part in a process of its own, as some measure its memory.
-PARTS ?= router silence dist placement delivery admission settings orders fleet
+PARTS ?= router edge silence dist placement delivery admission settings orders fleet
 bench: dist
 	mkdir -p bench-results
 	set -e; for part in $(PARTS); do \
--- /dev/null
+++ b/src/yuccafold/bench/_edge.py
@@ -0,0 +1,179 @@
+"""Measures the router of the edge: what it adds to a call, an event, a VM's memory."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import median
+from typing import Any
+from typing import final
+
+import h11
+import trio
+
+from yuccafold._clock import MS_PER_SECOND
+from yuccafold.bench._figure import BenchOptions
+from yuccafold.bench._figure import Figure
+from yuccafold.bench._router_process import RouterProcess
+from yuccafold.http import HttpStream
+from yuccafold.soak import EdgeProcess
+from yuccafold.soak import SoakSettings
+from yuccafold.standins import PlatformStore
+from yuccafold.standins import PlatformStoreSettings
+from yuccafold.standins import PlatformTarget
+from yuccafold.standins import PlatformTargetSettings
+from yuccafold.standins import Relay
+
+CALL_TARGET_MS = 1.0
+"""What the router may add to a call at the median."""
+
+EVENT_TARGET_US = 100.0
+"""Processor time that an event passed on may take."""
+
+MEMORY_TARGET_MB = 24.0
+"""Memory of a process on a calm day, by the users' count, which leaves out what
+processes share; the resident memory measured here holds that too."""
+
+EVENT_PAUSE_MS = 4
+MAX_HEAD_BYTES = 65_536
+READY_POLL_S = 0.02
+US_PER_SECOND = 1_000_000
+HEADERS = (("Host", "fleet.example"), ("X-Attempt-Id", "bench"), ("X-Key", "key"))
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class _Sizes:
+    """How much each measurement sends."""
+
+    calls: int
+    streams: int
+    events: int
+
+
+FULL = _Sizes(calls=1_000, streams=16, events=400)
+QUICK = _Sizes(calls=100, streams=4, events=50)
+
+
+def figures(options: BenchOptions) -> Iterator[Figure]:
+    """Yield the figures of one router before a store and a target."""
+    yield from trio.run(_measure, QUICK if options.quick else FULL)
+
+
+async def _measure(sizes: _Sizes) -> list[Figure]:
+    async with _router(sizes) as (router, process, target):
+        memory = router.rss_mb()
+        through = await _call_times(process.callers, sizes.calls)
+        host, _, port = target.server.address.partition(":")
+        direct = await _call_times((host, int(port)), sizes.calls)
+        before = router.cpu_seconds()
+        async with trio.open_nursery() as nursery:
+            for _ in range(sizes.streams):
+                nursery.start_soon(_call, process.callers, "/chat/a")
+        used = router.cpu_seconds() - before
+    events = sizes.streams * sizes.events
+    added = (median(through) - median(direct)) * MS_PER_SECOND
+    return [
+        Figure("edge_rss_mb_idle", memory, "MB", MEMORY_TARGET_MB),
+        Figure("edge_overhead_ms_p50", added, "ms", CALL_TARGET_MS),
+        Figure("edge_event_us", used / events * US_PER_SECOND, "us", EVENT_TARGET_US),
+    ]
+
+
+@asynccontextmanager
+async def _router(
+    sizes: _Sizes,
+) -> AsyncIterator[tuple[RouterProcess, EdgeProcess, PlatformTarget]]:
+    """Run a router process before stand-ins."""
+    store = PlatformStore(PlatformStoreSettings())
+    target = PlatformTarget(
+        PlatformTargetSettings("t1", events=sizes.events, event_pause_ms=EVENT_PAUSE_MS)
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        process = EdgeProcess(0, SoakSettings(), Path(folder))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(store.serve)
+            await nursery.start(target.serve)
+            process.relay = Relay(store.server.address)
+            await nursery.start(process.relay.serve)
+            store.put("op/config", json.dumps(_config()).encode())
+            entry = {
+                "service": "desk",
+                "address": target.server.address,
+                "zone": "a",
+                "state": "ready",
+            }
+            store.put("servers/t1", json.dumps(entry).encode())
+            process.write_settings([])
+            process.start()
+            try:
+                while await _call(process.callers, "/look/a") != 200:
+                    await trio.sleep(READY_POLL_S)
+                address = ":".join(map(str, process.callers))
+                yield RouterProcess(process.pid, address), process, target
+            finally:
+                process.close()
+            nursery.cancel_scope.cancel()
+
+
+def _config() -> dict[str, Any]:
+    def route(prefix: str, kind: str) -> dict[str, Any]:
+        return {
+            "name": prefix,
+            "host": "fleet.example",
+            "prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 60_000,
+            "service": "desk",
+            "max_attempts": 1,
+        }
+
+    return {
+        "version": 1,
+        "routes": [route("/look/", "safe"), route("/chat/", "streaming")],
+        "services": [{"name": "desk", "health_path": "/health"}],
+        "tenants": [{"name": "acme", "api_keys": ["key"]}],
+    }
+
+
+async def _call(address: tuple[str, int], path: str) -> int:
+    """Make one call on a connection of its own; return its status, 0 without one."""
+    try:
+        stream = await trio.open_tcp_stream(*address)
+    except OSError:
+        return 0
+    http = HttpStream(stream, h11.CLIENT, MAX_HEAD_BYTES)
+    try:
+        return await _exchange(http, path)
+    finally:
+        await http.close()
+
+
+async def _call_times(address: tuple[str, int], calls: int) -> list[float]:
+    """Return how long each of ``calls`` took on one connection, in seconds."""
+    http = HttpStream(await trio.open_tcp_stream(*address), h11.CLIENT, MAX_HEAD_BYTES)
+    times = []
+    for _ in range(calls):
+        began = trio.current_time()
+        await _exchange(http, "/look/a")
+        times.append(trio.current_time() - began)
+        http.http.start_next_cycle()
+    await http.close()
+    return times
+
+
+async def _exchange(http: HttpStream, path: str) -> int:
+    request = h11.Request(method="GET", target=path, headers=list(HEADERS))
+    await http.send(request, h11.EndOfMessage())
+    status = 0
+    while not isinstance(event := await http.next_event(), h11.EndOfMessage):
+        if isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.ConnectionClosed):
+            return 0
+    return status
--- a/src/yuccafold/cli/_bench.py
+++ b/src/yuccafold/cli/_bench.py
@@ -17,6 +17,7 @@
 
 PARTS: dict[str, str] = {
     "router": "yuccafold.bench._router",
+    "edge": "yuccafold.bench._edge",
     "silence": "yuccafold.bench._silence",
     "placement": "yuccafold.bench._placement",
     "settings": "yuccafold.bench._settings",
--- a/src/yuccafold/soak/__init__.py
+++ b/src/yuccafold/soak/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import Promises
 from yuccafold.soak._promises import Violation
 from yuccafold.soak._run import SoakReport
@@ -10,6 +11,7 @@
 from yuccafold.soak._settings import SoakSettings
 
 __all__ = [
+    "EdgeProcess",
     "FaultKind",
     "Promises",
     "SoakReport",
--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -10,8 +10,8 @@
 import trio
 
 from yuccafold.http import HttpStream
+from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import Promises
-from yuccafold.soak._vm import SoakVm
 
 MAX_HEAD_BYTES = 65_536
 CALL_TIMEOUT_S = 8.0
@@ -34,7 +34,7 @@
     def __init__(
         self,
         name: str,
-        vm: SoakVm,
+        vm: EdgeProcess,
         keys: list[str],
         promises: Promises,
         rng: random.Random,
--- a/src/yuccafold/soak/_vm.py
+++ b/src/yuccafold/soak/_process.py
@@ -29,7 +29,7 @@
 
 
 @final
-class SoakVm:
+class EdgeProcess:
     """Starts, signals and ends one router process; never any other process."""
 
     def __init__(self, number: int, settings: SoakSettings, folder: Path) -> None:
@@ -46,6 +46,13 @@
         """The name of the VM."""
         return self._name
 
+    @property
+    def pid(self) -> int:
+        """The id of the running process."""
+        if self._process is None:
+            raise AssertionError("expected a process that was started")
+        return self._process.pid
+
     @property
     def callers(self) -> tuple[str, int]:
         """Where callers connect."""
@@ -99,7 +106,7 @@
             "YUCCAFOLD_LISTEN": f"{HOST}:{self._ports['front']}",
         }
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "yuccafold", "router"],
+            [sys.executable, "-OO", "-m", "yuccafold", "router"],
             env=environment,
             stdin=subprocess.DEVNULL,
             stdout=self._log,
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -21,11 +21,11 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._clock import MonotonicClock
 from yuccafold.soak._clients import SoakClient
+from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import Promises
 from yuccafold.soak._promises import Violation
 from yuccafold.soak._settings import FaultKind
 from yuccafold.soak._settings import SoakSettings
-from yuccafold.soak._vm import SoakVm
 from yuccafold.standins import Mood
 from yuccafold.standins import PlatformStore
 from yuccafold.standins import PlatformStoreSettings
@@ -82,7 +82,7 @@
         )
         self._report = SoakReport(settings.seed)
         self._store = PlatformStore(PlatformStoreSettings())
-        self._vms = [SoakVm(n, settings, folder) for n in range(settings.vms)]
+        self._vms = [EdgeProcess(n, settings, folder) for n in range(settings.vms)]
         self._targets: dict[str, tuple[PlatformTarget, Relay]] = {}
         self._born = 0
         self._version = 0
@@ -296,7 +296,7 @@
         """Stop every process; each must end by itself within its grace period."""
         ends: list[Callable[[], Awaitable[Any]]] = [vm.stop for vm in self._vms]
 
-        async def check(vm: SoakVm, stop: Callable[[], Awaitable[Any]]) -> None:
+        async def check(vm: EdgeProcess, stop: Callable[[], Awaitable[Any]]) -> None:
             if not await stop():
                 self._break("ends by itself", vm.name, "killed after its grace")
 
