--- a/src/yuccafold/cli/_edge_router.py
+++ b/src/yuccafold/cli/_edge_router.py
@@ -29,6 +29,9 @@
 LOG_FLUSH = Milliseconds(100)
 """How often lines are written; a killed process loses no more than this."""
 
+SETTINGS_POLL = Milliseconds(2_000)
+"""How often the file of settings is looked at; seeds may lag for seconds anyway."""
+
 STANDARD_OUTPUT = 1
 
 
@@ -73,6 +76,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_flush, lines)
         nursery.start_soon(_watch_signals, router, path)
+        nursery.start_soon(_watch_settings, router, path)
         await router.run()
         nursery.cancel_scope.cancel()
 
@@ -84,7 +88,7 @@
 
 
 async def _watch_signals(router: EdgeRouter, path: str) -> None:
-    """Drain on a request to stop; look at the settings again when they changed."""
+    """Drain on a request to stop; look at the settings again on request."""
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
@@ -95,6 +99,25 @@
                 router.drain()
 
 
+async def _watch_settings(router: EdgeRouter, path: str) -> None:
+    """Look at the settings again when the file changed without a signal."""
+    seen = _modified(path)
+    while True:
+        await trio.sleep(SETTINGS_POLL / MS_PER_SECOND)
+        now = _modified(path)
+        if now not in (seen, None):
+            _reload(router, path)
+        seen = now
+
+
+def _modified(path: str) -> int | None:
+    """Return when the file was written last, ``None`` while it is not there."""
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return None
+
+
 def _reload(router: EdgeRouter, path: str) -> None:
     """Take new settings; ones that can't be read change nothing."""
     try:
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -52,6 +52,9 @@
 """Pause after a change before the next watch: changes come in bursts, each answer is
 a call, and a change must be in force only within seconds."""
 
+ROLE_POLL = Milliseconds(1_000)
+"""How often a VM that asks others looks whether it is a seed now."""
+
 FIRST_PAUSE = Milliseconds(60)
 """Pause after the first failed read; the platform answers in a few ms."""
 
@@ -83,12 +86,10 @@
         self._clock = clock
         self._rng = rng
         self._store = store
-        self._choice = SourceChoice(store, peers, settings.reads_platform, rng)
-        self._follows = settings.reads_platform
-        self._confirm_pause = confirm_pause(settings)
         self._max_age = Milliseconds(
             round(settings.apply_within * SEED_SHARE) + AGE_SLACK
         )
+        self.use(settings, peers)
         self._decode = decode
         self._table = table
         self._view = view
@@ -108,17 +109,27 @@
         """Set once the platform was read for the first time."""
         return self._first_view
 
+    def use(self, settings: EdgeSettings, peers: list[PlatformSource]) -> None:
+        """Read from the store and ``peers`` as ``settings`` say, from now on."""
+        self._choice = SourceChoice(
+            self._store, peers, settings.reads_platform, self._rng
+        )
+        self._follows = settings.reads_platform
+        self._confirm_pause = confirm_pause(settings)
+
     async def run(self) -> None:
         """Read until cancelled: one task follows changes, one confirms the view."""
         async with trio.open_nursery() as nursery:
-            if self._follows:
-                nursery.start_soon(self._follow)
+            nursery.start_soon(self._follow)
             nursery.start_soon(self._confirm)
 
     async def _follow(self) -> None:
         """Take changes as they come; the platform answers once there is one."""
         while True:
             await self._fresh.wait()
+            if not self._follows:
+                await trio.sleep(ROLE_POLL / MS_PER_SECOND)
+                continue
             try:
                 with trio.CancelScope() as self._watch:
                     await self._read_changes(self._store, WATCH_WAIT)
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import final
 
 import trio
@@ -88,11 +89,7 @@
             rng,
             settings,
             store,
-            [
-                PeerSource(seed, self._table)
-                for seed in settings.seeds
-                if seed != settings.peers
-            ],
+            self._peers(),
             decode,
             self._table,
             self._view,
@@ -125,7 +122,7 @@
             self._draining.set()
 
     def reload(self, settings: EdgeSettings) -> None:
-        """Compare new settings with those in use; addresses stay until a restart."""
+        """Take new seeds; other changes are logged and come with a restart."""
         changed = [
             name
             for name in settings.__slots__
@@ -133,6 +130,9 @@
             and getattr(settings, name) != getattr(self._settings, name)
         ]
         log_event("settings_reloaded", changed=",".join(changed) or "nothing")
+        if "seeds" in changed:
+            self._settings = replace(self._settings, seeds=settings.seeds)
+            self._reader.use(self._settings, self._peers())
 
     async def run(
         self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -171,6 +171,11 @@
             nursery.cancel_scope.cancel()
         log_event("stopped", connections=len(self._callers))
 
+    def _peers(self) -> list[PlatformSource]:
+        settings = self._settings
+        others = (seed for seed in settings.seeds if seed != settings.peers)
+        return [PeerSource(seed, self._table) for seed in others]
+
     def _page_servers(self) -> list[tuple[SocketAddress, PageServer]]:
         settings = self._settings
         servers = [(settings.readiness, PageServer(self._readiness))]
--- a/testing/edge/test_reader.py
+++ b/testing/edge/test_reader.py
@@ -373,6 +373,37 @@
     run_nodes(fleet(4), scenario)
 
 
+def test_new_seeds_are_asked_instead_of_the_old_ones():
+    async def scenario(store, nodes):
+        seeds, asker = nodes[:3], nodes[-1]
+        moved = tuple(SocketAddress("10.0.0.5", 7_000 + n) for n in range(2))
+        peers = [Peer(str(moved[n]), seeds[n]) for n in range(2)]
+        asker.reader.use(edge_settings(seeds=moved, peers=SEEDS[0]), peers)
+        old = [peer.asked for peer in asker.asked]
+        store.put("op/config", catalogue(version=2))
+        await trio.sleep(2)
+        assert asker.view.version == 2
+        assert sum(peer.asked for peer in peers) >= 3
+        assert [peer.asked for peer in asker.asked] == old
+
+    run_nodes(fleet(2), scenario)
+
+
+def test_vm_that_became_a_seed_follows_the_store():
+    async def scenario(store, nodes):
+        asker = nodes[-1]
+        before = store.watches
+        own = SocketAddress("10.0.0.9", 7_001)
+        asker.reader.use(edge_settings(seeds=(own,), peers=own), [])
+        await trio.sleep(1.5)
+        assert store.watches > before
+        store.put("op/config", catalogue(version=2))
+        await trio.sleep(0.1)
+        assert asker.view.version == 2
+
+    run_nodes(fleet(2), scenario)
+
+
 def test_age_of_a_view_is_never_less_than_the_platforms_own_word():
     async def scenario(store, nodes):
         await trio.sleep(3)
