Send long differences compressed and behind short news

After power came back, 505 calls were refused for want of a first view, some of them twice.

Ruled out: asking more often (the answers were on the way).

Change: differences are compressed once for all that ask; an answer ends at 16 KB and the asker goes on at its position, so that removals come first. Calls wait 600 ms for a first view, and one refused without settings is told to come back after half a second, as all VMs started at once.

--- a/src/yuccafold/edge/_gate.py
+++ b/src/yuccafold/edge/_gate.py
@@ -28,6 +28,10 @@
 """Share of a key's lifetime after which callers are sent elsewhere: by then two
 confirmations of the view have failed."""
 
+RETRY_AFTER_START = Milliseconds(500)
+"""When a caller may come back to VMs that all started at once: a long configuration
+takes half a second on a slow link, and no other VM has it sooner."""
+
 RETRY_ELSEWHERE = Milliseconds(30)
 """When a caller may come back that another VM probably serves: retries go there."""
 
@@ -87,7 +91,9 @@
         """Return what a call is handled as; ``now`` is taken after it arrived."""
         catalogue = self._view.catalogue
         if catalogue is None:
-            return Err(self._later("no_settings", "no configuration read yet"))
+            wait = spread(RETRY_AFTER_START, self._rng)
+            reason = "no configuration read yet"
+            return Err(Refusal(503, "no_settings", reason, Verdict.NOT_RUN, wait))
         route = catalogue.route_of(host, path)
         if route is None:
             return Err(self._unknown(404, "no_route", "no route for the path", now))
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -9,6 +9,8 @@
 import base64
 import json
 import zlib
+from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import Any
 from typing import final
 from urllib.parse import parse_qs
@@ -17,7 +19,6 @@
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
-from yuccafold.edge._delta import Delta
 from yuccafold.edge._delta import apply_delta
 from yuccafold.edge._delta import make_delta
 from yuccafold.edge._entries import LONG_VALUE_BYTES
@@ -37,6 +38,9 @@
 
 VIEW_PATH = "/view"
 
+ANSWER_BYTES = 16_384
+"""Size from which an answer ends: 30 ms on the slowest links of 5 Mbit/s."""
+
 
 @final
 class PeerSource:
@@ -86,6 +90,7 @@
                 int(answer["position"]),
                 Milliseconds(int(answer["age_ms"])),
                 bool(answer["in_outage"]),
+                not answer.get("more", False),
             )
             return changes, bool(answer["whole"])
         except (ValueError, TypeError, KeyError, zlib.error) as error:
@@ -97,23 +102,27 @@
             base = self._table.version_at(key, int(row["base"]))
             if base is None or base.revision != row["base"] or base.value is None:
                 raise ValueError(f"expected {key} of revision {row['base']} here")
-            return Entry(key, revision, apply_delta(base.value, row["delta"]))
+            delta = json.loads(_unpack(row["delta"]))
+            return Entry(key, revision, apply_delta(base.value, delta))
         if row.get("value") is None:
             return Entry(key, revision, None)
-        packed = base64.b64decode(row["value"], validate=True)
-        return Entry(key, revision, zlib.decompress(packed))
+        return Entry(key, revision, _unpack(row["value"]))
 
 
 @final
 class ViewPage:
-    """Answers other VMs with what this one knows."""
+    """Answers other VMs with what this one knows.
+
+    An answer holds changes in the order of their revisions up to a size; who
+    asks again at its position gets the rest. So a long configuration does not
+    hold up the word that a target leaves.
+    """
 
     def __init__(self, clock: Clock, table: EntryTable, view: PlatformView) -> None:
         self._clock = clock
         self._table = table
         self._view = view
-        self._packed: dict[str, tuple[int, str]] = {}
-        self._deltas: dict[str, dict[tuple[int, int], Delta]] = {}
+        self._packed: dict[str, dict[tuple[int, int], dict[str, Any]]] = {}
 
     def answer(self, target: str) -> tuple[int, str]:
         """Return status and body for a request of another VM."""
@@ -124,47 +133,68 @@
         after = parse_qs(urlsplit(target).query).get("after", [""])[0]
         position = int(after) if after.isdigit() else 0
         known = self._table.since(position) if position else None
-        entries = self._table.present() if known is None else known
-        base = 0 if known is None else position
-        value = {
-            "position": self._table.position,
+        value: dict[str, Any] = {
             "age_ms": age,
             "in_outage": self._view.in_outage(now),
             "whole": known is None,
-            "entries": [self._row(entry, base) for entry in entries],
+            "position": self._table.position,
         }
-        return 200, json.dumps(value)
+        if known is None:
+            rows = [self._row(entry, 0) for entry in self._table.present()]
+        else:
+            rows = list(self._rows_within(known, position))
+            if len(rows) < len(known):
+                value["position"] = known[len(rows) - 1].revision
+                value["more"] = True
+        return 200, json.dumps(value | {"entries": rows})
+
+    def _rows_within(
+        self, entries: Sequence[Entry], position: int
+    ) -> Iterator[dict[str, Any]]:
+        """Yield entries until an answer is full; at least one."""
+        size = 0
+        for entry in entries:
+            row = self._row(entry, position)
+            size += len(row.get("value") or row.get("delta") or "")
+            if size > ANSWER_BYTES and entry is not entries[0]:
+                return
+            yield row
 
     def _row(self, entry: Entry, position: int) -> dict[str, Any]:
-        """Return an entry for a VM that has everything up to ``position``."""
+        """Return an entry for a VM that has everything up to ``position``.
+
+        What is long is made once for all VMs that have the same version.
+        """
         row: dict[str, Any] = {"key": entry.key, "revision": entry.revision}
         if entry.value is None:
             self._packed.pop(entry.key, None)
             return row
         base = self._table.version_at(entry.key, position)
-        if base is not None and len(base.value or b"") >= LONG_VALUE_BYTES:
-            try:
-                delta = self._delta(entry, base)
-                return row | {"base": base.revision, "delta": delta}
-            except UnicodeDecodeError as error:
-                log_event("entry_is_no_text", key=entry.key, error=str(error))
-        return row | {"value": self._pack(entry)}
-
-    def _delta(self, entry: Entry, base: Entry) -> Delta:
-        """Return the differences between two versions, made once for all that ask."""
-        versions = (base.revision, entry.revision)
-        deltas = self._deltas.setdefault(entry.key, {})
-        if any(revision != entry.revision for _, revision in deltas):
-            deltas.clear()
-        if versions not in deltas:
-            deltas[versions] = make_delta(base.value or b"", entry.value or b"")
-        return deltas[versions]
-
-    def _pack(self, entry: Entry) -> str:
-        """Return an entry's value, compressed once for all VMs that ask."""
-        revision, text = self._packed.get(entry.key, (0, ""))
-        if revision != entry.revision:
-            packed = zlib.compress(entry.value or b"")
-            text = base64.b64encode(packed).decode()
-            self._packed[entry.key] = (entry.revision, text)
-        return text
+        versions = (0 if base is None else base.revision, entry.revision)
+        packed = self._packed.setdefault(entry.key, {})
+        if any(revision != entry.revision for _, revision in packed):
+            packed.clear()
+        if versions not in packed:
+            packed[versions] = _content(entry, base)
+        return row | packed[versions]
+
+
+def _content(entry: Entry, base: Entry | None) -> dict[str, Any]:
+    """Return a value, or what turns the value of ``base`` into it."""
+    value = entry.value or b""
+    if base is not None and len(base.value or b"") >= LONG_VALUE_BYTES:
+        try:
+            delta = make_delta(base.value or b"", value)
+            packed = _pack(json.dumps(delta).encode())
+            return {"base": base.revision, "delta": packed}
+        except UnicodeDecodeError as error:
+            log_event("entry_is_no_text", key=entry.key, error=str(error))
+    return {"value": _pack(value)}
+
+
+def _pack(value: bytes) -> str:
+    return base64.b64encode(zlib.compress(value)).decode()
+
+
+def _unpack(text: str) -> bytes:
+    return zlib.decompress(base64.b64decode(text, validate=True))
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -62,6 +62,7 @@
     """What changed, in order; changes go on behind ``position``.
 
     ``age`` is how long before the answer the platform itself confirmed it.
+    ``is_last`` is false if there are more changes behind ``position`` already.
     ``in_outage`` says that the platform could not be read a short while ago.
     """
 
@@ -69,6 +70,7 @@
     position: int
     age: Milliseconds = Milliseconds(0)
     in_outage: bool = False
+    is_last: bool = True
 
 
 class PlatformSource(Protocol):
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import final
 
 import trio
@@ -19,6 +20,7 @@
 from yuccafold.edge._platform_source import Decode
 from yuccafold.edge._platform_source import Entry
 from yuccafold.edge._platform_source import HistoryLostError
+from yuccafold.edge._platform_source import PlatformChanges
 from yuccafold.edge._platform_source import PlatformSource
 from yuccafold.edge._platform_source import PlatformUnavailableError
 from yuccafold.edge._platform_source import TargetGone
@@ -190,9 +192,13 @@
         if self._must_list:
             age = await self._read_all(source)
         else:
-            missed, age = await self._read_changes(source, NO_WAIT)
+            changes = await self._read_changes(source, NO_WAIT)
+            while not changes.is_last:
+                started = self._clock.now()
+                changes = await self._read_changes(source, NO_WAIT)
+            age = changes.age
             if source is self._store:
-                self._doubt_watch(missed > 0)
+                self._doubt_watch(bool(changes.entries))
         self._view.confirm(Milliseconds(started - age))
         self._view.forget_gone(started)
         return age
@@ -208,20 +214,20 @@
 
     async def _read_changes(
         self, source: PlatformSource, wait: Milliseconds
-    ) -> tuple[int, Milliseconds]:
-        """Take what changed; return how many changes, and the age of the answer."""
+    ) -> PlatformChanges:
+        """Take what changed; return the changes that were new, with their age."""
         self._count(source)
         lists = self._lists
         changes = await source.changes(self._table.position, wait)
         if lists != self._lists:
             # A list that was read meanwhile is newer than these changes.
-            return 0, changes.age
+            return replace(changes, entries=())
         if changes.in_outage:
             self._view.note_outage(self._clock.now())
         new = self._table.take(changes.entries, changes.position)
         for entry in new:
             self._take(entry)
-        return len(new), changes.age
+        return replace(changes, entries=tuple(new))
 
     def _doubt_watch(self, missed: bool) -> None:
         """Replace a watch that did not tell of changes that are there.
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -47,9 +47,9 @@
 END_MARGIN = Milliseconds(300)
 """How long before the end of the grace period the process ends by itself."""
 
-FIRST_VIEW_WAIT = Milliseconds(300)
-"""How long calls wait in the backlog for the first view of the platform, which
-answers in a few ms; after that they are refused as not run."""
+FIRST_VIEW_WAIT = Milliseconds(600)
+"""How long calls wait in the backlog for the first view of the platform, which takes
+a few ms, and half a second if it is long and the link slow; then they are refused."""
 
 DRAIN_POLL = Milliseconds(50)
 """How often a stopping process looks whether its calls have ended."""
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import json
+import random
 
 import pytest
 import trio
@@ -93,6 +94,30 @@
     assert len(page.answer("/view?after=11")[1]) < 1_000
 
 
+@on_trio
+async def test_long_configuration_does_not_hold_up_that_a_target_leaves():
+    page = view_page(confirmed_at=400)
+    asker = EntryTable()
+    old = config(50)
+    page._table.take([Entry("op/config", 10, old)], 10)
+    asker.take([Entry("op/config", 10, old), Entry("servers/t1", 9, b"x")], 10)
+    random_names = "".join(random.Random(1).choices("abcdefghij0123456789", k=90_000))
+    pieces = [random_names[n : n + 30] for n in range(0, 90_000, 30)]
+    new = "},".join(pieces).encode()
+    page._table.take([Entry("servers/t1", 11, None)], 11)
+    page._table.take([Entry("op/config", 12, new)], 12)
+
+    async def question(source):
+        first = await source.changes(10, NO_WAIT)
+        return first, await source.changes(first.position, NO_WAIT)
+
+    first, second = await ask(page.answer, question, asker)
+    assert first.entries == (Entry("servers/t1", 11, None),)
+    assert (first.position, first.is_last) == (11, False)
+    assert second.entries == (Entry("op/config", 12, new),)
+    assert (second.position, second.is_last) == (12, True)
+
+
 @on_trio
 async def test_long_entry_that_is_no_text_is_passed_on_whole():
     page = view_page(confirmed_at=400)
