--- a/src/yuccafold/bench/_edge.py
+++ b/src/yuccafold/bench/_edge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import tempfile
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
@@ -10,7 +9,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 from statistics import median
-from typing import Any
 from typing import final
 
 import h11
@@ -27,7 +25,11 @@
 from yuccafold.standins import PlatformStoreSettings
 from yuccafold.standins import PlatformTarget
 from yuccafold.standins import PlatformTargetSettings
+from yuccafold.standins import PublishedRoute
+from yuccafold.standins import PublishedTarget
 from yuccafold.standins import Relay
+from yuccafold.standins import call_headers
+from yuccafold.standins import configuration
 
 CALL_TARGET_MS = 1.0
 """What the router may add to a call at the median."""
@@ -43,7 +45,9 @@
 MAX_HEAD_BYTES = 65_536
 READY_POLL_S = 0.02
 US_PER_SECOND = 1_000_000
-HEADERS = (("Host", "fleet.example"), ("X-Attempt-Id", "bench"), ("X-Key", "key"))
+SERVICE = "desk"
+KEY = "key"
+DEADLINE_MS = 60_000
 
 
 @final
@@ -101,14 +105,13 @@
             await nursery.start(target.serve)
             process.relay = Relay(store.server.address)
             await nursery.start(process.relay.serve)
-            store.put("op/config", json.dumps(_config()).encode())
-            entry = {
-                "service": "desk",
-                "address": target.server.address,
-                "zone": "a",
-                "state": "ready",
-            }
-            store.put("servers/t1", json.dumps(entry).encode())
+            routes = [
+                PublishedRoute("/look/", "safe", SERVICE, timeout_ms=60_000),
+                PublishedRoute("/chat/", "streaming", SERVICE, timeout_ms=60_000),
+            ]
+            store.configure(configuration(routes, [KEY]))
+            entry = PublishedTarget(SERVICE, target.server.address)
+            store.list_target("t1", entry)
             process.write_settings([])
             process.start()
             try:
@@ -121,26 +124,6 @@
             nursery.cancel_scope.cancel()
 
 
-def _config() -> dict[str, Any]:
-    def route(prefix: str, kind: str) -> dict[str, Any]:
-        return {
-            "name": prefix,
-            "host": "fleet.example",
-            "prefix": prefix,
-            "kind": kind,
-            "timeout_ms": 60_000,
-            "service": "desk",
-            "max_attempts": 1,
-        }
-
-    return {
-        "version": 1,
-        "routes": [route("/look/", "safe"), route("/chat/", "streaming")],
-        "services": [{"name": "desk", "health_path": "/health"}],
-        "tenants": [{"name": "acme", "api_keys": ["key"]}],
-    }
-
-
 async def _call(address: tuple[str, int], path: str) -> int:
     """Make one call on a connection of its own; return its status, 0 without one."""
     try:
@@ -168,7 +151,8 @@
 
 
 async def _exchange(http: HttpStream, path: str) -> int:
-    request = h11.Request(method="GET", target=path, headers=list(HEADERS))
+    headers = call_headers("bench", KEY, DEADLINE_MS)
+    request = h11.Request(method="GET", target=path, headers=headers)
     await http.send(request, h11.EndOfMessage())
     status = 0
     while not isinstance(event := await http.next_event(), h11.EndOfMessage):
--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -12,11 +12,15 @@
 from yuccafold.http import HttpStream
 from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import Promises
+from yuccafold.standins import call_headers
 
 MAX_HEAD_BYTES = 65_536
 CALL_TIMEOUT_S = 8.0
 """How long a caller waits: longer than any route, so that routers answer first."""
 
+DEADLINE_MS = 4_000
+"""What callers say that they wait."""
+
 PAUSE_S = 0.04
 """Longest pause between two calls of a caller."""
 
@@ -73,10 +77,7 @@
             method="POST",
             target=f"{path}{attempt}",
             headers=[
-                ("Host", "fleet.example"),
-                ("X-Attempt-Id", attempt),
-                ("X-Key", key),
-                ("X-Deadline-Ms", "4000"),
+                *call_headers(attempt, key, DEADLINE_MS),
                 ("Content-Length", str(len(body))),
             ],
         )
--- a/src/yuccafold/soak/_process.py
+++ b/src/yuccafold/soak/_process.py
@@ -15,6 +15,7 @@
 
 from yuccafold.soak._settings import SoakSettings
 from yuccafold.standins import Relay
+from yuccafold.standins import process_settings
 
 HOST = "127.0.0.1"
 END_TIMEOUT_S = 3.0
@@ -73,7 +74,7 @@
         if self.relay is None:
             raise AssertionError("expected a relay to the store first")
         settings = self._settings
-        lines = {
+        fields = {
             "node_name": self._name,
             "zone": "a",
             "listen_addresses.front": f"{HOST}:{self._ports['front']}",
@@ -90,8 +91,7 @@
             "bounds.retry_budget_slack": 56,
             "bounds.cap_x": 2,
         }
-        text = "".join(f"{name}={value}\n" for name, value in lines.items())
-        self._settings_path.write_text(text)
+        self._settings_path.write_text(process_settings(fields))
 
     @property
     def _settings_path(self) -> Path:
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import signal
 from collections import Counter
@@ -31,12 +30,18 @@
 from yuccafold.standins import PlatformStoreSettings
 from yuccafold.standins import PlatformTarget
 from yuccafold.standins import PlatformTargetSettings
+from yuccafold.standins import PublishedRoute
+from yuccafold.standins import PublishedTarget
 from yuccafold.standins import Relay
 from yuccafold.standins import ServedRequest
+from yuccafold.standins import attempt_of
+from yuccafold.standins import configuration
+from yuccafold.standins import shows_key
 
 MAX_SEEDS = 3
 KEYS = 6
 SERVICE = "desk"
+RESUMABLE = (("resumable", True),)
 HEALED_WITHIN_S = 8.0
 """How long after the last fault callers must be served again: a start, a view, and
 the pauses of targets that were avoided."""
@@ -128,22 +133,17 @@
         """Write the next version of the configuration."""
         self._version += self._rng.randint(1, 3)
         routes = [
-            _route("/look/", "safe", 2),
-            _route("/book/", "unsafe", 1),
-            _route("/chat/", "streaming", 2, resumable=True),
-            _route("/chat/once/", "streaming", 1, resumable=False),
-            *([_route("/later/", "safe", 2)] if self._extra_route else []),
+            PublishedRoute("/look/", "safe", SERVICE),
+            PublishedRoute("/book/", "unsafe", SERVICE, max_attempts=1),
+            PublishedRoute("/chat/", "streaming", SERVICE, more=RESUMABLE),
+            PublishedRoute("/chat/once/", "streaming", SERVICE, max_attempts=1),
+            *(
+                [PublishedRoute("/later/", "safe", SERVICE)]
+                if self._extra_route
+                else []
+            ),
         ]
-        value = {
-            "version": self._version,
-            "routes": routes,
-            "services": [
-                {"name": SERVICE, "health_path": "/health", "max_connections": 99}
-            ],
-            "limits": {"idle_timeout_ms": 15_000},
-            "tenants": [{"name": "acme", "api_keys": list(self._keys), "priority": 1}],
-        }
-        self._store.put("op/config", json.dumps(value).encode())
+        self._store.configure(configuration(routes, list(self._keys), self._version))
 
     async def _add_target(self) -> None:
         self._born += 1
@@ -159,19 +159,12 @@
         self._list_target(name, "ready")
 
     def _list_target(self, name: str, state: str) -> None:
-        value = {
-            "service": SERVICE,
-            "address": self._targets[name][1].address,
-            "zone": "a",
-            "slots": 8,
-            "state": state,
-            "born": int(name[1:]),
-        }
-        self._store.put(f"servers/{name}", json.dumps(value).encode())
+        address = self._targets[name][1].address
+        entry = PublishedTarget(SERVICE, address, state, born_ms=int(name[1:]))
+        self._store.list_target(name, entry)
 
     def _ran(self, target: str, request: ServedRequest) -> None:
-        attempt = request.header("x-attempt-id") or ""
-        self._promises.ran(target, attempt, request.header("x-key") is not None)
+        self._promises.ran(target, attempt_of(request), shows_key(request))
 
     async def _inject(self) -> None:
         """Start faults one after the other; they last and overlap."""
@@ -252,7 +245,7 @@
         self._promises.leaving(name)
         await trio.sleep(self._settings.drain_ms / 1000 + 1.0)
         target, relay = self._targets.pop(name)
-        self._store.remove(f"servers/{name}")
+        self._store.unlist_target(name)
         relay.cut()
         target.server.crash()
 
@@ -308,22 +301,6 @@
         self._report.violations.append(Violation(promise, who, seen))
 
 
-def _route(prefix: str, kind: str, attempts: int, **more: object) -> dict[str, Any]:
-    return {
-        "name": f"r{prefix}",
-        "host": "fleet.example",
-        "prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 3_000,
-        "target_latency_ms": 200,
-        "priority": 1,
-        "service": SERVICE,
-        "max_attempts": attempts,
-        "public": False,
-        **more,
-    }
-
-
 async def run_soak(settings: SoakSettings, folder: Path) -> SoakReport:
     """Play one soak; logs of the routers go to ``folder``."""
     return await _Soak(settings, folder).run()
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -35,6 +35,13 @@
 from yuccafold.standins._plain import PlainService
 from yuccafold.standins._plain import PlainSettings
 from yuccafold.standins._plain import body_digest
+from yuccafold.standins._platform_forms import PublishedRoute
+from yuccafold.standins._platform_forms import PublishedTarget
+from yuccafold.standins._platform_forms import attempt_of
+from yuccafold.standins._platform_forms import call_headers
+from yuccafold.standins._platform_forms import configuration
+from yuccafold.standins._platform_forms import process_settings
+from yuccafold.standins._platform_forms import shows_key
 from yuccafold.standins._platform_store import PlatformStore
 from yuccafold.standins._platform_store import PlatformStoreSettings
 from yuccafold.standins._platform_target import Mood
@@ -55,6 +62,7 @@
 from yuccafold.standins._weight_store import WeightStoreSettings
 
 __all__ = [
+    "NO_FAULTS",
     "Block",
     "BoundAddress",
     "ChatMessage",
@@ -71,9 +79,8 @@
     "ListedTarget",
     "ListedVm",
     "Malformed",
-    "Mood",
     "ModelEngine",
-    "NO_FAULTS",
+    "Mood",
     "Order",
     "OrderKind",
     "PlainRun",
@@ -84,6 +91,8 @@
     "PlatformTarget",
     "PlatformTargetSettings",
     "Priority",
+    "PublishedRoute",
+    "PublishedTarget",
     "Relay",
     "RunState",
     "ServedRequest",
@@ -100,6 +109,11 @@
     "WeightStoreSettings",
     "answer_text",
     "answer_tokens",
+    "attempt_of",
     "body_digest",
+    "call_headers",
+    "configuration",
+    "process_settings",
     "prompt_blocks",
+    "shows_key",
 ]
--- a/src/yuccafold/standins/_platform_store.py
+++ b/src/yuccafold/standins/_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import json
 from dataclasses import dataclass
 from itertools import islice
 from typing import Any
@@ -14,6 +15,9 @@
 from yuccafold.standins._http import Exchange
 from yuccafold.standins._http import HttpServer
 from yuccafold.standins._http import ServerSettings
+from yuccafold.standins._platform_forms import CONFIGURATION
+from yuccafold.standins._platform_forms import TARGETS
+from yuccafold.standins._platform_forms import PublishedTarget
 
 MS_PER_SECOND = 1000
 LONGEST_WAIT_MS = 30_000
@@ -92,6 +96,18 @@
         self._items[key] = change
         return change.revision
 
+    def configure(self, value: bytes) -> int:
+        """Write the operator's configuration; return its revision."""
+        return self.put(CONFIGURATION, value)
+
+    def list_target(self, name: str, target: PublishedTarget) -> int:
+        """Write a target's entry; return its revision."""
+        return self.put(f"{TARGETS}{name}", json.dumps(target.as_json()).encode())
+
+    def unlist_target(self, name: str) -> None:
+        """Remove a target's entry."""
+        self.remove(f"{TARGETS}{name}")
+
     def remove(self, key: str) -> None:
         """Remove a key."""
         del self._items[key]
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -15,10 +15,11 @@
 from yuccafold.standins._http import HttpServer
 from yuccafold.standins._http import ServedRequest
 from yuccafold.standins._http import ServerSettings
+from yuccafold.standins._platform_forms import ATTEMPT
+from yuccafold.standins._platform_forms import attempt_of
 
 MS_PER_SECOND = 1000
 SIGNATURE = "X-Response-Signature"
-ATTEMPT = "X-Attempt-Id"
 
 
 class Mood(Enum):
@@ -102,7 +103,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         self._received.append(request)
-        attempt = request.header("x-attempt-id") or ""
+        attempt = attempt_of(request)
         expected = request.header("x-expect-instance")
         if expected not in (None, self.id):
             headers = (("X-Engine-Id", self.id), ("X-Not-Executed", "1"))
--- a/testing/edge/builders.py
+++ b/testing/edge/builders.py
@@ -23,6 +23,9 @@
 from yuccafold.edge import TargetRecord
 from yuccafold.edge import TargetState
 from yuccafold.edge import index_routes
+from yuccafold.standins import PublishedRoute
+from yuccafold.standins import PublishedTarget
+from yuccafold.standins import configuration
 
 DESK = ServiceId("desk")
 ENGINES = ServiceId("engines")
@@ -95,48 +98,17 @@
     return tuple(PromptPart(PartId(id), tokens) for id, tokens in parts)
 
 
-def wire_route(prefix, kind, service="desk", **changes):
-    values = {
-        "name": f"r{prefix}",
-        "host": "fleet.example",
-        "prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 5_000,
-        "target_latency_ms": 200,
-        "priority": 1,
-        "service": service,
-        "max_attempts": 2,
-        "public": False,
-    }
-    return values | changes
+def wire_route(prefix, kind, **changes):
+    """Return a route in the platform's form."""
+    return PublishedRoute(prefix, kind, "desk").as_json() | changes
 
 
 def wire_config(*routes, version=1, keys=(KEY,)):
     """Return a configuration in the platform's form."""
-    return json.dumps(
-        {
-            "version": version,
-            "routes": list(routes),
-            "services": [
-                {"name": "desk", "health_path": "/health", "max_connections": 100}
-            ],
-            "limits": {"max_body_bytes": 4_096, "idle_timeout_ms": 15_000},
-            "tenants": [{"name": "acme", "api_keys": list(keys), "priority": 1}],
-        }
-    ).encode()
-
-
-def wire_target(address, service="desk", state="ready", **changes):
+    value = json.loads(configuration([], list(keys), version))
+    return json.dumps(value | {"routes": list(routes)}).encode()
+
+
+def wire_target(address, **changes):
     """Return a target's entry in the platform's form."""
-    values = {
-        "service": service,
-        "address": address,
-        "zone": "a",
-        "version": "v1",
-        "slots": 6,
-        "state": state,
-        "cold_remaining_ms": 0,
-        "sequence": 1,
-        "born": 1_000,
-    }
-    return json.dumps(values | changes).encode()
+    return json.dumps(PublishedTarget("desk", address).as_json() | changes).encode()
