Hold VMs to the drain bound in the soak only while they are in touch

Cause: the soak would count a call that a VM sends on waking, before it has heard that its target left. The users' rules hold machines to bounds in time only if nothing happened to them for three seconds.

Ruled out: a longer bound for all (it would pass over VMs that are in touch).

--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -72,7 +72,8 @@
         path = self._rng.choice(("/look/", "/book/", "/chat/", "/chat/once/"))
         key = self._rng.choice(self._keys)
         body = f"body of {attempt}".encode()
-        self._promises.sent(attempt, key, path in ("/look/", "/chat/"))
+        repeatable = path in ("/look/", "/chat/")
+        self._promises.sent(attempt, key, repeatable, self._vm.name)
         request = h11.Request(
             method="POST",
             target=f"{path}{attempt}",
--- a/src/yuccafold/soak/_promises.py
+++ b/src/yuccafold/soak/_promises.py
@@ -12,6 +12,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a call has not run and never will."""
 
+CONTACT = Milliseconds(3_000)
+"""How long after a fault on a VM bounds in time do not hold, by the users' rules."""
+
 CHECK_SLACK = Milliseconds(250)
 """How late this process may see what happened in another one."""
 
@@ -34,6 +37,7 @@
     at: Milliseconds
     key: str
     repeatable: bool
+    vm: str
 
 
 @final
@@ -51,6 +55,7 @@
         self._refused: dict[str, int] = {}
         self._revoked: dict[str, Milliseconds] = {}
         self._leaving: dict[str, Milliseconds] = {}
+        self._out_of_touch: dict[str, Milliseconds] = {}
         self._statuses: Counter[int] = Counter()
         self._violations: list[Violation] = []
 
@@ -69,9 +74,9 @@
         """How many attempts were sent."""
         return len(self._sent)
 
-    def sent(self, attempt: str, key: str, repeatable: bool) -> None:
-        """Take an attempt that a caller is about to send."""
-        self._sent[attempt] = Sent(self._clock.now(), key, repeatable)
+    def sent(self, attempt: str, key: str, repeatable: bool, vm: str) -> None:
+        """Take an attempt that a caller is about to send to ``vm``."""
+        self._sent[attempt] = Sent(self._clock.now(), key, repeatable, vm)
 
     def answered(self, attempt: str, status: int, fault: str | None) -> None:
         """Take what a caller got; ``fault`` is what is wrong with a whole answer."""
@@ -98,7 +103,13 @@
         if not sent.repeatable and attempt in self._refused:
             self._break("not run", attempt, f"{target} runs it after a refusal")
         self._check_key(sent, attempt, target)
-        self._check_leaving(target, attempt, now)
+        if now > self._out_of_touch.get(sent.vm, Milliseconds(0)):
+            self._check_leaving(target, attempt, now)
+
+    def out_of_touch(self, vm: str, duration: Milliseconds) -> None:
+        """Take a fault on a VM or on its way to the store that begins now."""
+        until = Milliseconds(self._clock.now() + duration + CONTACT)
+        self._out_of_touch[vm] = max(until, self._out_of_touch.get(vm, until))
 
     def revoked(self, key: str) -> None:
         """Take a key's end, once its configuration is accepted."""
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -19,6 +19,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._clock import MonotonicClock
+from yuccafold._clock import seconds
 from yuccafold.soak._clients import SoakClient
 from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import Promises
@@ -39,6 +40,7 @@
 from yuccafold.standins import shows_key
 
 MAX_SEEDS = 3
+FOR_ALL_VMS = frozenset({FaultKind.STORE_REFUSES, FaultKind.STORE_FORGETS})
 KEYS = 6
 SERVICE = "desk"
 RESUMABLE = (("resumable", True),)
@@ -195,9 +197,12 @@
             self._configure()
 
     async def _play_store(self, kind: FaultKind, length: float) -> None:
-        relay = self._rng.choice(self._vms).relay
+        vm = self._rng.choice(self._vms)
+        relay = vm.relay
         if relay is None:
             raise AssertionError("expected a relay to the store")
+        for other in self._vms if kind in FOR_ALL_VMS else [vm]:
+            self._promises.out_of_touch(other.name, seconds(length))
         if kind is FaultKind.STORE_SILENT:
             relay.forget()
         elif kind is FaultKind.STORE_CUT:
@@ -257,6 +262,7 @@
         if vm.name in self._busy:
             return
         self._busy.add(vm.name)
+        self._promises.out_of_touch(vm.name, seconds(length))
         try:
             if kind is FaultKind.VM_PAUSED:
                 vm.signal(signal.SIGSTOP)
