Forget all that is kept of targets that are gone

Cause: reports, outcomes and holders of targets stayed after the targets had gone, a few hundred bytes each, without end. Found by reading.

Change: what leaves the view is forgotten everywhere; running calls keep their count. An unused property goes.

--- a/src/yuccafold/edge/_model.py
+++ b/src/yuccafold/edge/_model.py
@@ -78,11 +78,6 @@
     slots: int = 0
     cache_tokens: int = 0
 
-    @property
-    def caches_prompts(self) -> bool:
-        """Whether targets of this service keep parts of prompts."""
-        return self.cache_tokens > 0
-
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -152,14 +152,14 @@
         known.own_at_report = known.in_flight
         known.reported_at = now
 
-    def forget(self, kept: Iterable[TargetId]) -> None:
-        """Drop targets that are not in ``kept`` and have no call of ours."""
-        names = set(kept)
-        self._loads = {
-            target: load
-            for target, load in self._loads.items()
-            if target in names or load.in_flight
-        }
+    def forget(self, target: TargetId) -> None:
+        """Drop what a target reported, and all of it if it has no call of ours."""
+        load = self._loads.get(target)
+        if load is None:
+            return
+        load.reported_at = None
+        if load.in_flight == 0:
+            del self._loads[target]
 
     def in_flight(self, target: TargetId) -> int:
         """Return how many calls of this VM the target has."""
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -200,7 +200,8 @@
             if source is self._store:
                 self._doubt_watch(bool(changes.entries))
         self._view.confirm(Milliseconds(started - age))
-        self._view.forget_gone(started)
+        for target in self._view.forget_gone(started):
+            self._targets.forget(target)
         return age
 
     async def _read_all(self, source: PlatformSource) -> Milliseconds:
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -94,4 +94,5 @@
     def forget(self, target: TargetId) -> None:
         """Drop what is known of a target that started anew or is gone."""
         self._health.forget(target)
+        self._loads.forget(target)
         self._holders.forget_target(target)
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -145,8 +145,8 @@
         """Return all targets that may still hold prompts, leaving ones too."""
         return self._by_service.get(service, [])
 
-    def forget_gone(self, now: Milliseconds) -> None:
-        """Drop targets that left long ago."""
+    def forget_gone(self, now: Milliseconds) -> list[TargetId]:
+        """Drop targets that left long ago; return which."""
         gone = [
             target
             for target, known in self._targets.items()
@@ -157,6 +157,7 @@
             del self._targets[target]
         if gone:
             self._index()
+        return gone
 
     def counts(self) -> tuple[int, int]:
         """Return how many targets are known and how many of them are leaving."""
--- a/testing/edge/test_placement.py
+++ b/testing/edge/test_placement.py
@@ -140,6 +140,28 @@
     assert excess_share(size, told=True) < ALLOWED_EXCESS
 
 
+def test_nothing_is_kept_of_targets_that_are_gone():
+    loads = LoadTable()
+    for number in range(100):
+        name = TargetId(f"t{number}")
+        loads.start(name)
+        loads.report(name, TargetLoad(3, 0, 64), NOW)
+        loads.finish(name)
+        loads.forget(name)
+    loads.forget(TargetId("never-seen"))
+    assert loads._loads == {}
+
+
+def test_target_that_is_gone_keeps_the_count_of_running_calls():
+    loads = LoadTable()
+    loads.start(TargetId("t1"))
+    loads.report(TargetId("t1"), TargetLoad(3, 0, 64), NOW)
+    loads.forget(TargetId("t1"))
+    assert loads.in_flight(TargetId("t1")) == 1
+    loads.finish(TargetId("t1"))
+    assert loads.own() == {}
+
+
 def test_old_report_is_not_believed():
     known = engines(4)
     loads = LoadTable()
--- a/testing/edge/test_view.py
+++ b/testing/edge/test_view.py
@@ -60,7 +60,7 @@
     view = view_of(target("t1"), target("t2"))
     view.remove_target(target("t1").id, Milliseconds(10))
     assert {known.record.id for known in view.present(DESK)} == {"t1", "t2"}
-    view.forget_gone(Milliseconds(60_000))
+    assert view.forget_gone(Milliseconds(60_000)) == ["t1"]
     assert {known.record.id for known in view.present(DESK)} == {"t2"}
 
 
