Count a prompt's first call as chance when its share is estimated

Ruled out: four calls as the least (0.034 to 0.058 of the calls above the bound at 82 VMs in the played load, the rule allows 0.03).

Change: the share counts one call less.

--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -247,7 +247,7 @@
     def share(self, part: PartId) -> float:
         """Return the share of calls about ``part``; 0 until it came several times."""
         weight = self._weights.get(part, 0.0)
-        return weight / self._total if weight >= HOT_WEIGHT else 0.0
+        return (weight - 1) / self._total if weight >= HOT_WEIGHT else 0.0
 
 
 def rank(part: PartId, targets: Sequence[KnownTarget]) -> list[KnownTarget]:
