Count the grace of a lapsed entry from when it was there last

A VM's log shows that it took the target's end 1.34 s after its acknowledgement, and went on sending: a seed that had lost the store said that entries may lapse just then, so the VM gave the entry a grace of 2.6 s from its own hearing.

Ruled out: links (the VM had the entry in time), and dropping the grace (entries of live targets lapse when the store is away and are back within two seconds).

Change: the grace counts from the last confirmation that the entry was there. A view older than the drain bound tells nothing, and counts from the hearing.

--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -114,8 +114,8 @@
         if known is None:
             return False
         if known.leaving_since is None:
-            known.leaving_since = now
             known.lapsed = self.in_outage(now)
+            known.leaving_since = self._last_present(now) if known.lapsed else now
         self._index()
         return True
 
@@ -166,6 +166,15 @@
         )
         return len(self._targets), leaving
 
+    def _last_present(self, now: Milliseconds) -> Milliseconds:
+        """Return since when an entry that just went may be gone.
+
+        It was there when the view was confirmed last. A view that is older than
+        the drain bound tells nothing, and holds this VM to no bound either.
+        """
+        age = self.age(now)
+        return Milliseconds(now - age if age and age < self._drain_within else now)
+
     def _index(self) -> None:
         services = {known.record.service for known in self._targets.values()}
         self._by_service = {service: [] for service in services}
--- a/testing/edge/test_view.py
+++ b/testing/edge/test_view.py
@@ -41,6 +41,25 @@
     assert ready_ids(view, 1_100 + DRAIN) == []
 
 
+def test_grace_of_a_lapsed_entry_counts_from_when_it_was_there_last():
+    view = view_of(target("t1"))
+    view.confirm(Milliseconds(1_000))
+    view.note_outage(Milliseconds(2_500))
+    view.remove_target(target("t1").id, Milliseconds(2_600))
+    # It may have left right after the view was confirmed.
+    assert ready_ids(view, 1_000 + DRAIN - 400) == []
+    assert ready_ids(view, 1_000 + DRAIN) == []
+
+
+def test_entry_that_lapsed_in_a_long_outage_keeps_its_grace():
+    view = view_of(target("t1"))
+    view.confirm(Milliseconds(1_000))
+    view.note_outage(Milliseconds(8_000))
+    view.remove_target(target("t1").id, Milliseconds(8_100))
+    assert ready_ids(view, 9_000) == ["t1"]
+    assert ready_ids(view, 8_100 + DRAIN) == []
+
+
 def test_lapsed_entry_that_comes_back_is_ready_again():
     view = view_of(target("t1"))
     view.note_outage(Milliseconds(1_000))
