--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -65,13 +65,14 @@
         table: EntryTable,
         loads: LoadTable,
         clock: Clock,
+        limits: CallLimits = LIMITS,
     ) -> None:
         self._vm = vm
         self._address = address
         self._table = table
         self._loads = loads
         self._clock = clock
-        self._connection = KeptConnection(address.host, address.port, LIMITS)
+        self._connection = KeptConnection(address.host, address.port, limits)
 
     @property
     def name(self) -> str:
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -46,9 +46,9 @@
     One watch over all keys tells of both. The store is never written to.
     """
 
-    def __init__(self, address: SocketAddress) -> None:
-        self._reads = KeptConnection(address.host, address.port, LIMITS)
-        self._watches = KeptConnection(address.host, address.port, LIMITS)
+    def __init__(self, address: SocketAddress, limits: CallLimits = LIMITS) -> None:
+        self._reads = KeptConnection(address.host, address.port, limits)
+        self._watches = KeptConnection(address.host, address.port, limits)
 
     @property
     def name(self) -> str:
--- a/testing/support/loopback.py
+++ b/testing/support/loopback.py
@@ -8,6 +8,12 @@
 
 import trio
 
+from yuccafold._clock import Milliseconds
+from yuccafold.http import CallLimits
+
+PATIENT = CallLimits(connect=Milliseconds(10_000), silence=Milliseconds(10_000))
+"""Limits for calls whose answer matters and not how long a busy machine takes."""
+
 
 def on_trio(function):
     """Run an async test on trio."""
