--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -27,16 +27,13 @@
 from yuccafold.edge._responder import EdgeResponder
 from yuccafold.http import CallerGone
 from yuccafold.http import Headers
-from yuccafold.http import HttpStream
+from yuccafold.http import ServedConnection
 from yuccafold.http import first_value
 from yuccafold.http import head_fault
 
 MAX_HEAD_BYTES = 131_072
 """Bytes of a head before the parser gives up; the operator's limit is below."""
 
-PIPELINED_BYTES = 65_536
-"""Bytes of later calls that are read while one is answered."""
-
 PATH_END = b"?"
 
 
@@ -55,7 +52,7 @@
 
 
 @final
-class EdgeCaller:
+class EdgeCaller(ServedConnection):
     """Serves the calls of one connection, one after the other."""
 
     def __init__(
@@ -69,7 +66,7 @@
         rng: random.Random,
         metrics: EdgeMetrics,
     ) -> None:
-        self._http = HttpStream(stream, h11.SERVER, MAX_HEAD_BYTES)
+        super().__init__(stream, MAX_HEAD_BYTES)
         self._state = state
         self._gate = gate
         self._forwarder = forwarder
@@ -80,16 +77,6 @@
         self._idle_scope = trio.CancelScope()
         self._idle = True
 
-    async def run(self) -> None:
-        """Serve until the caller leaves or the connection can't be used again."""
-        try:
-            while await self._serve_one():
-                self._http.http.start_next_cycle()
-        except (CallerGone, OSError, trio.BrokenResourceError):
-            return
-        finally:
-            await self._http.close()
-
     def close_if_idle(self) -> None:
         """End the connection unless a call is being read or answered."""
         if self._idle:
@@ -239,17 +226,6 @@
         if not responder.whole:
             raise CallerGone
 
-    async def _watch_caller(self, scope: trio.CancelScope) -> None:
-        """Cancel ``scope`` when the caller closes its connection."""
-        while len(self._http.http.trailing_data[0]) < PIPELINED_BYTES:
-            try:
-                alive = await self._http.receive()
-            except (OSError, trio.BrokenResourceError):
-                alive = False
-            if not alive:
-                scope.cancel()
-                return
-
     async def _refuse(
         self, headers: Headers | None, refusal: Refusal, responder: EdgeResponder
     ) -> bool:
@@ -273,10 +249,6 @@
         await responder.refuse(refusal)
         return self._can_go_on()
 
-    def _can_go_on(self) -> bool:
-        http = self._http.http
-        return http.our_state is h11.DONE and http.their_state is h11.DONE
-
     def _log_end(
         self, call: Call, responder: EdgeResponder, refusal: Refusal | None
     ) -> None:
--- a/src/yuccafold/http/__init__.py
+++ b/src/yuccafold/http/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from yuccafold.http._answer_writer import AnswerWriter
 from yuccafold.http._client import CallFailedError
 from yuccafold.http._client import CallLimits
 from yuccafold.http._client import KeptConnection
@@ -13,6 +14,7 @@
 from yuccafold.http._listener import Listener
 from yuccafold.http._pool import ConnectionPool
 from yuccafold.http._pool import IdleConnection
+from yuccafold.http._served import ServedConnection
 from yuccafold.http._stream import Header
 from yuccafold.http._stream import Headers
 from yuccafold.http._stream import HttpStream
@@ -22,6 +24,7 @@
 __all__ = [
     "METHODS",
     "REASONS",
+    "AnswerWriter",
     "CallFailedError",
     "CallLimits",
     "CallerGone",
@@ -33,6 +36,7 @@
     "IdleConnection",
     "KeptConnection",
     "Listener",
+    "ServedConnection",
     "end_to_end",
     "first_value",
     "head_fault",
--- /dev/null
+++ b/src/yuccafold/http/_answer_writer.py
@@ -0,0 +1,70 @@
+"""Writes one answer and knows how much of it is out."""
+
+from __future__ import annotations
+
+import h11
+import trio
+
+from yuccafold.http._head import REASONS
+from yuccafold.http._head import CallerGone
+from yuccafold.http._stream import Headers
+from yuccafold.http._stream import HttpStream
+
+
+class AnswerWriter:
+    """The answer of one call on the caller's connection.
+
+    Raises ``CallerGone`` when the connection no longer takes bytes.
+    """
+
+    def __init__(self, http: HttpStream) -> None:
+        self._http = http
+        self._status = 0
+        self._head = b""
+        self._whole = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of an answer was taken."""
+        return self._status != 0
+
+    @property
+    def status(self) -> int:
+        """The status of the answer; 0 before."""
+        return self._status
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer was written to its end."""
+        return self._whole
+
+    def take_head(self, status: int, headers: Headers) -> None:
+        """Take the head; it travels with the first bytes of the body."""
+        self._status = status
+        response = h11.Response(
+            status_code=status, headers=headers, reason=REASONS.get(status, b"")
+        )
+        self._head = self._http.encode(response)
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._flush(self._http.encode(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """Send the end of the body; the answer was whole."""
+        await self.finish_with(b"")
+
+    async def finish_with(self, data: bytes) -> None:
+        """Send the last part of the body and its end as one write."""
+        events = [h11.Data(data=data)] if data else []
+        await self._flush(self._http.encode(*events, h11.EndOfMessage()))
+        self._whole = True
+
+    async def _flush(self, data: bytes) -> None:
+        head, self._head = self._head, b""
+        if not head and not data:
+            return
+        try:
+            await self._http.send_encoded(head + data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGone from error
--- /dev/null
+++ b/src/yuccafold/http/_served.py
@@ -0,0 +1,52 @@
+"""One caller's connection, whose calls are served one after the other."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+
+import h11
+import trio
+
+from yuccafold.http._head import CallerGone
+from yuccafold.http._stream import HttpStream
+
+PIPELINED_BYTES = 65_536
+"""Bytes of later calls that are read while one is answered."""
+
+
+class ServedConnection(ABC):
+    """Serves calls until the caller leaves or the connection can't be used again."""
+
+    def __init__(self, stream: trio.SocketStream, max_head: int) -> None:
+        self._http = HttpStream(stream, h11.SERVER, max_head)
+
+    async def run(self) -> None:
+        """Serve calls to the end of the connection, then close it."""
+        try:
+            while await self._serve_one():
+                self._http.http.start_next_cycle()
+        except (CallerGone, OSError, trio.BrokenResourceError):
+            return
+        finally:
+            await self._http.close()
+
+    @abstractmethod
+    async def _serve_one(self) -> bool:
+        """Serve one call; return whether another may follow."""
+
+    def _can_go_on(self) -> bool:
+        """Return whether both sides are through with the present call."""
+        http = self._http.http
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel ``scope`` when the caller closes its connection."""
+        while len(self._http.http.trailing_data[0]) < PIPELINED_BYTES:
+            try:
+                alive = await self._http.receive()
+            except (OSError, trio.BrokenResourceError):
+                alive = False
+            if not alive:
+                scope.cancel()
+                return
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -17,7 +17,7 @@
 from yuccafold._verdict import Verdict
 from yuccafold.http import CallerGone
 from yuccafold.http import Headers
-from yuccafold.http import HttpStream
+from yuccafold.http import ServedConnection
 from yuccafold.http import first_value
 from yuccafold.http import head_fault
 from yuccafold.router._body import HOLD_BYTES
@@ -47,12 +47,11 @@
 MAX_HEAD_BYTES = 32_768
 MAX_KEY_BYTES = 255
 IDLE_TIMEOUT = Milliseconds(60_000)
-WATCH_BYTES = 65_536
 CANCELLED_BY_CALLER = 499
 
 
 @final
-class CallerConnection:
+class CallerConnection(ServedConnection):
     """Serves the calls of one connection, one after the other."""
 
     def __init__(
@@ -65,7 +64,7 @@
         telemetry: Telemetry,
         refusals: RefusalLog,
     ) -> None:
-        self._http = HttpStream(stream, h11.SERVER, MAX_HEAD_BYTES)
+        super().__init__(stream, MAX_HEAD_BYTES)
         self._state = state
         self._forwarder = forwarder
         self._ids = ids
@@ -75,16 +74,6 @@
         self._idle = trio.CancelScope()
         self._waiting = True
 
-    async def run(self) -> None:
-        """Serve until the caller leaves or the connection can't be used again."""
-        try:
-            while await self._serve_one():
-                self._http.http.start_next_cycle()
-        except (CallerGone, OSError, trio.BrokenResourceError):
-            return
-        finally:
-            await self._http.close()
-
     def close_if_idle(self) -> None:
         """End the connection unless a call is being handled."""
         if self._waiting:
@@ -156,10 +145,6 @@
         self._record(service, responder, started)
         return responder.whole and not closing and self._can_go_on()
 
-    def _can_go_on(self) -> bool:
-        http = self._http.http
-        return http.our_state is h11.DONE and http.their_state is h11.DONE
-
     def _resolve(self, request: h11.Request, tree: SettingsTree | None) -> Resolved:
         """Check the head and return what the settings say about it."""
         refusal = _check_head(request)
@@ -254,17 +239,6 @@
                 responder.add_header(b"traceparent", present.encode())
             await self._forwarder.forward(call, body, responder)
 
-    async def _watch_caller(self, scope: trio.CancelScope) -> None:
-        """Cancel ``scope`` when the caller closes its connection."""
-        while len(self._http.http.trailing_data[0]) < WATCH_BYTES:
-            try:
-                alive = await self._http.receive()
-            except (OSError, trio.BrokenResourceError):
-                alive = False
-            if not alive:
-                scope.cancel()
-                return
-
     def _log_refusal(self, call_id: str, service: str, refusal: Refusal) -> None:
         now = self._clock.now()
         self._refusals.note(service, refusal, self._state.revision, now)
