Fetch prompts from targets that live, and split the retry slack by VMs

By the logs of all VMs, of the prompts read while some target in service held them, 325 of 521 were to be fetched from a target that the VM itself had found unreachable, 153 from one that other VMs had, and 43 from one that never held them. A target whose address another one had taken (421) was asked again and again (275 times in four seconds). And the retry slack was split by a fixed 16: played, 85 VMs whose targets reject everything send 2,420 calls once more where the users allow 1,604. Ruled out: hot prompts shared out over targets (no read again beside them). Change: a target that can't be reached is no source of prompts until it answers; a 421 counts as unreachable; the second in rank is asked where the first knows nothing. Seeds tell how many VMs there are; the slack is split by that, and a call that reached the wrong target counts for the budget, not for its attempts.

--- a/src/yuccafold/_retry_budget.py
+++ b/src/yuccafold/_retry_budget.py
@@ -24,6 +24,11 @@
         """Retries that may be done now."""
         return self._tokens
 
+    def resize(self, capacity: float) -> None:
+        """Hold at most ``capacity`` retries from now on."""
+        self._capacity = capacity
+        self._tokens = min(capacity, self._tokens)
+
     def note_request(self, share: float) -> None:
         """Earn ``share`` of a retry for one received request."""
         self._tokens = min(self._capacity, self._tokens + share)
--- a/src/yuccafold/edge/_attempts.py
+++ b/src/yuccafold/edge/_attempts.py
@@ -51,13 +51,15 @@
 class CallProgress:
     """What is known of a call after a failed attempt.
 
-    ``sent`` counts the targets that got it, ``verdict`` is the worst so far.
+    ``sent`` counts the targets that got it, ``arrivals`` those as well that had
+    another one's address. ``verdict`` is the worst so far.
     ``answer_begun`` says whether the caller has a part of an answer.
     """
 
     repeatability: Repeatability
     max_attempts: int
     sent: int
+    arrivals: int
     verdict: Verdict
     answer_begun: bool
     time_left: Milliseconds
@@ -72,7 +74,7 @@
         return False
     if progress.answer_begun and progress.repeatability is not Repeatability.RESUMABLE:
         return False
-    if progress.sent == 0:
+    if progress.arrivals == 0:
         return True
     return progress.sent < progress.max_attempts and budget_allows
 
--- a/src/yuccafold/edge/_call.py
+++ b/src/yuccafold/edge/_call.py
@@ -52,12 +52,13 @@
 class RunRecord:
     """What is known of a call's run over all attempts."""
 
-    __slots__ = ("_current", "_sent", "_settled")
+    __slots__ = ("_arrivals", "_current", "_sent", "_settled")
 
     def __init__(self) -> None:
         self._settled = Verdict.NOT_RUN
         self._current = Verdict.NOT_RUN
         self._sent = 0
+        self._arrivals = 0
 
     @property
     def verdict(self) -> Verdict:
@@ -66,12 +67,18 @@
 
     @property
     def sent(self) -> int:
-        """How many targets got the call."""
+        """How many targets got the call that were meant."""
         return self._sent
 
+    @property
+    def arrivals(self) -> int:
+        """How often the call was sent, also to those that were not meant."""
+        return self._arrivals
+
     def start_sending(self) -> None:
         """Record that the first byte is about to leave."""
         self._sent += 1
+        self._arrivals += 1
         self._current = Verdict.MAY_HAVE_RUN
 
     def not_run(self, counts: bool) -> None:
--- a/src/yuccafold/edge/_fleet_loads.py
+++ b/src/yuccafold/edge/_fleet_loads.py
@@ -30,6 +30,7 @@
 
     loads: Loads
     at: Milliseconds
+    vms: int = 1
 
 
 @final
@@ -44,9 +45,9 @@
         """Take the calls of a VM that asks this seed."""
         self._by_vm[vm] = Told(loads, now)
 
-    def note_seed(self, seed: str, loads: Loads, now: Milliseconds) -> None:
-        """Take the sum of another seed."""
-        self._by_seed[seed] = Told(loads, now)
+    def note_seed(self, seed: str, loads: Loads, vms: int, now: Milliseconds) -> None:
+        """Take the sum of another seed, over itself and the VMs that ask it."""
+        self._by_seed[seed] = Told(loads, now, vms)
 
     def partial(self, own: Loads, now: Milliseconds) -> Counter[TargetId]:
         """Return our calls and those of VMs that asked us lately."""
@@ -56,6 +57,19 @@
         """Return the calls of all VMs, as far as seeds know them."""
         return _sum(self.partial(own, now), self._by_seed, now)
 
+    def partial_vms(self, now: Milliseconds) -> int:
+        """Return how many VMs asked us lately, this one included."""
+        return 1 + _fresh_vms(self._by_vm, now)
+
+    def total_vms(self, now: Milliseconds) -> int:
+        """Return how many VMs there are, as far as seeds know them."""
+        return self.partial_vms(now) + _fresh_vms(self._by_seed, now)
+
+
+def _fresh_vms(told: dict[str, Told], now: Milliseconds) -> int:
+    fresh = (each for each in told.values() if now - each.at <= LOADS_LIFETIME)
+    return sum(each.vms for each in fresh)
+
 
 def _sum(first: Loads, told: dict[str, Told], now: Milliseconds) -> Counter[TargetId]:
     """Add what is fresh and forget the rest."""
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -12,7 +12,6 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
-from yuccafold._retry_budget import RetryBudget
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
 from yuccafold.edge._attempts import CallProgress
@@ -33,6 +32,7 @@
 from yuccafold.edge._relay import FIRST_SERVER_ERROR
 from yuccafold.edge._relay import AnswerRelay
 from yuccafold.edge._responder import EdgeResponder
+from yuccafold.edge._retries import Retries
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._targets import Targets
 from yuccafold.http import ConnectionPool
@@ -40,9 +40,6 @@
 MAX_CONNECTS = 4
 """Targets that a call may fail to reach before it is refused."""
 
-VMS_AT_ONCE = 16
-"""VMs that may spend their part of the retry slack at the same time."""
-
 
 @final
 class EdgeForwarder:
@@ -65,13 +62,13 @@
         self._pool = pool
         self._translator = translator
         self._metrics = metrics
-        self._budgets: dict[str, RetryBudget] = {}
+        self._retries = Retries(settings, targets.loads)
 
     async def forward(self, call: Call, responder: EdgeResponder) -> Refusal | None:
         """Answer ``call``; return why it was refused or broken off, if it was."""
         relay = AnswerRelay(call, responder)
         record = RunRecord()
-        self._budget(call).note_request(self._settings.retry_ratio)
+        self._retries.note_call(call.service)
         refusal: Refusal | None = None
         time_left = (call.deadline - self._clock.now()) / MS_PER_SECOND
         with trio.move_on_after(max(0.0, time_left)) as scope:
@@ -121,16 +118,16 @@
             repeatability=call.repeatability,
             max_attempts=call.admitted.route.max_attempts,
             sent=record.sent,
+            arrivals=record.arrivals,
             verdict=record.verdict,
             answer_begun=relay.started,
             time_left=Milliseconds(call.deadline - self._clock.now()),
         )
         if relay.started and relay.resume_after is None:
             return False
-        budget = self._budget(call)
-        again = may_try_again(progress, budget.has_token())
-        if again and record.sent:
-            budget.spend()
+        again = may_try_again(progress, self._retries.has_token(call.service))
+        if again and record.arrivals:
+            self._retries.spend(call.service)
             self._metrics.count("retries", service=call.service)
         return again
 
@@ -201,13 +198,6 @@
             self._metrics.count("target_errors", service=call.service)
         await relay.pass_on(exchange, head)
 
-    def _budget(self, call: Call) -> RetryBudget:
-        budget = self._budgets.get(call.service)
-        if budget is None:
-            capacity = max(1.0, self._settings.retry_slack / VMS_AT_ONCE)
-            budget = self._budgets[call.service] = RetryBudget(capacity)
-        return budget
-
     def _log_placed(self, call: Call, placement: Placement, reused: bool) -> None:
         source = placement.fetch_from
         log_event(
@@ -246,8 +236,8 @@
 
 def _blame(failure: Failure) -> Outcome:
     """Return what a failure says of the target's health."""
-    if failure is Failure.UNREACHABLE:
+    if failure in (Failure.UNREACHABLE, Failure.REPLACED):
         return Outcome.UNREACHABLE
-    if failure in (Failure.LEFT, Failure.REPLACED):
+    if failure is Failure.LEFT:
         return Outcome.UNKNOWN
     return Outcome.FAILED
--- a/src/yuccafold/edge/_health.py
+++ b/src/yuccafold/edge/_health.py
@@ -56,7 +56,7 @@
     GOOD = "good"
     FAILED = "failed"
     UNREACHABLE = "unreachable"
-    """No connection could be made, so nothing ran."""
+    """No connection could be made, or another target has the address: nothing ran."""
     UNKNOWN = "unknown"
     """The call ended for a reason that says nothing of the target."""
 
@@ -147,6 +147,11 @@
             return self._least_sick(targets, now)
         return well
 
+    def is_down(self, target: TargetId) -> bool:
+        """Return whether a target could not be reached and did not answer since."""
+        score = self._scores.get(target)
+        return score is not None and score.unreachable and score.good_since_sick == 0
+
     def start(self, target: TargetId) -> None:
         """Record that a call is sent, so that a sick target gets one at a time."""
         score = self._scores.get(target)
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -93,15 +93,18 @@
             raise PlatformUnavailableError("has forgotten what changed")
         return changes
 
-    async def loads(self) -> dict[TargetId, int]:
-        """Return the calls of the VMs that ask the other VM, and its own."""
+    async def loads(self) -> tuple[dict[TargetId, int], int]:
+        """Return the calls of the VMs that ask the other VM and its own, and how
+        many VMs that are.
+        """
         try:
             status, body = await self._connection.get(LOADS_PATH)
             if status != 200:
                 raise PlatformUnavailableError(f"status {status}")
-            return read_loads(body.decode())
-        except (CallFailedError, ValueError) as error:
-            raise PlatformUnavailableError(str(error)) from error
+            answer = json.loads(body)
+            return read_loads(str(answer["loads"])), int(answer["vms"])
+        except (CallFailedError, ValueError, TypeError, KeyError) as error:
+            raise PlatformUnavailableError(repr(error)) from error
 
     async def close(self) -> None:
         """Close the connection."""
@@ -125,8 +128,9 @@
                 not answer.get("more", False),
             )
             total = read_loads(str(answer.get("loads", "")))
-            if total:
-                self._loads.note_fleet(total, own, self._clock.now())
+            vms = int(answer.get("vms", 0))
+            if total or vms:
+                self._loads.note_fleet(total, own, vms, self._clock.now())
             return changes, bool(answer["whole"])
         except (ValueError, TypeError, KeyError, zlib.error) as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
@@ -173,7 +177,9 @@
         now = self._clock.now()
         parts = urlsplit(target)
         if parts.path == LOADS_PATH:
-            return 200, write_loads(self._fleet.partial(self._loads.own(), now))
+            loads = write_loads(self._fleet.partial(self._loads.own(), now))
+            vms = self._fleet.partial_vms(now)
+            return 200, json.dumps({"loads": loads, "vms": vms})
         age = self._view.age(now)
         if age is None:
             return 503, "no view yet\n"
@@ -188,6 +194,7 @@
             "whole": known is None,
             "position": self._table.position,
             "loads": write_loads(self._fleet.total(self._loads.own(), now)),
+            "vms": self._fleet.total_vms(now),
         }
         if known is None:
             rows = [self._row(entry, 0) for entry in self._table.present()]
--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -102,6 +102,12 @@
         self._loads: dict[TargetId, LoadEstimate] = {}
         self._others: dict[TargetId, int] = {}
         self._others_at: Milliseconds | None = None
+        self._vms = 0
+
+    @property
+    def vms(self) -> int:
+        """How many VMs there are, as seeds told last; 0 before."""
+        return self._vms
 
     def own(self) -> dict[TargetId, int]:
         """Return this VM's calls by target."""
@@ -115,9 +121,11 @@
         self,
         total: Mapping[TargetId, int],
         own_then: Mapping[TargetId, int],
+        vms: int,
         now: Milliseconds,
     ) -> None:
-        """Take the calls of all VMs, which hold those of ours as told then."""
+        """Take the calls of all ``vms``, which hold those of ours as told then."""
+        self._vms = vms
         self._others = {
             target: max(0, calls - own_then.get(target, 0))
             for target, calls in total.items()
@@ -287,10 +295,10 @@
         self,
         parts: Sequence[PromptPart],
         usable: Sequence[KnownTarget],
-        present: Sequence[KnownTarget],
+        holders: Sequence[KnownTarget],
         now: Milliseconds,
     ) -> Placement | None:
-        """Return where a call goes; ``present`` are all that may hold prompts."""
+        """Return where a call goes; ``holders`` are all that may hold prompts."""
         if not usable:
             return None
         shared = parts[:-1] or parts
@@ -303,7 +311,7 @@
         ranked = self._by_turns(shared[-1].id, rank(shared[-1].id, usable), now)
         target = self._within_bound(ranked, now)
         reason = "first-ranked" if target is ranked[0] else "spilled"
-        source = self._source(shared, target, present, now)
+        source = self._source(shared, target, holders, now)
         return Placement(target, reason, source)
 
     def _by_turns(
@@ -353,7 +361,7 @@
         self,
         shared: Sequence[PromptPart],
         target: KnownTarget,
-        present: Sequence[KnownTarget],
+        holders: Sequence[KnownTarget],
         now: Milliseconds,
     ) -> KnownTarget | None:
         """Return who holds more of the prompt than ``target``.
@@ -365,15 +373,19 @@
         whole = sum(part.tokens for part in shared)
         if own == whole:
             return None
-        others = [known for known in present if known is not target]
-        best = max(others, key=lambda known: held.get(known.record.id, 0), default=None)
-        known_tokens = 0 if best is None else held.get(best.record.id, 0)
-        if known_tokens < whole:
-            # Other VMs send this prompt to the first in rank, unknown to us.
-            ranked = _old_first(rank(shared[-1].id, present), now)
-            if ranked and ranked[0] is not target:
-                return ranked[0]
-        return best if known_tokens > own else None
+        others = [known for known in holders if known is not target]
+        if not others:
+            return None
+        best = max(others, key=lambda known: held.get(known.record.id, 0))
+        best_tokens = held.get(best.record.id, 0)
+        if best_tokens == whole:
+            return best
+        # Other VMs send this prompt to the first in rank, unknown to us.
+        ranked = _old_first(rank(shared[-1].id, holders), now)
+        if ranked[0] is not target:
+            return ranked[0]
+        # The target may be first only since another one went.
+        return best if best_tokens > own else ranked[1]
 
 
 def _old_first(ranked: Sequence[KnownTarget], now: Milliseconds) -> list[KnownTarget]:
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -255,16 +255,18 @@
                     await self._ask_loads(seed, peer)
             own = self._targets.loads.own()
             now = self._clock.now()
-            self._targets.loads.note_fleet(self._fleet.total(own, now), own, now)
+            total = self._fleet.total(own, now)
+            vms = self._fleet.total_vms(now)
+            self._targets.loads.note_fleet(total, own, vms, now)
 
     async def _ask_loads(self, seed: SocketAddress, peer: PeerSource) -> None:
         """Take the sum of another seed; without it that seed's VMs do not count."""
         try:
-            loads = await peer.loads()
+            loads, vms = await peer.loads()
         except PlatformUnavailableError:
             self._metrics.count("load_failures", seed=seed)
             return
-        self._fleet.note_seed(str(seed), loads, self._clock.now())
+        self._fleet.note_seed(str(seed), loads, vms, self._clock.now())
 
     async def _sweep_pool(self) -> None:
         while True:
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
 from yuccafold.edge._call import Call
@@ -23,6 +24,7 @@
 from yuccafold.edge._placement import PlainPlacement
 from yuccafold.edge._placement import PromptPlacement
 from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._view import KnownTarget
 from yuccafold.edge._view import PlatformView
 
 
@@ -56,10 +58,21 @@
         untried = [known for known in ready if known.record.id not in tried]
         usable = self._health.usable(untried, repeatable, now)
         if call.head.prompt:
-            present = self._view.present(call.service)
-            return self._prompts.choose(call.head.prompt, usable, present, now)
+            holders = self._possible_holders(call.service)
+            return self._prompts.choose(call.head.prompt, usable, holders, now)
         return self._plain.choose(usable, now)
 
+    def _possible_holders(self, service: ServiceId) -> list[KnownTarget]:
+        """Return the targets that a prompt may be fetched from.
+
+        A target that can't be reached has most likely crashed and lost its memory.
+        """
+        return [
+            known
+            for known in self._view.present(service)
+            if not self._health.is_down(known.record.id)
+        ]
+
     def may_send(self, target: TargetRecord, now: Milliseconds) -> bool:
         """Return whether a target may still get a call."""
         return self._view.may_send(target, now)
--- a/testing/edge/test_attempts.py
+++ b/testing/edge/test_attempts.py
@@ -25,6 +25,7 @@
         "repeatability": kind,
         "max_attempts": 2,
         "sent": 1,
+        "arrivals": 1,
         "verdict": verdict,
         "answer_begun": False,
         "time_left": Milliseconds(400),
@@ -39,7 +40,9 @@
         pytest.param(progress(ONCE, NOT), True, id="once-not-run"),
         pytest.param(progress(ONCE, NOT, max_attempts=1), False, id="attempts-used"),
         pytest.param(
-            progress(ONCE, NOT, max_attempts=1, sent=0), True, id="never-sent"
+            progress(ONCE, NOT, max_attempts=1, sent=0, arrivals=0),
+            True,
+            id="never-sent",
         ),
         pytest.param(progress(IDEMPOTENT, RAN), True, id="idempotent"),
         pytest.param(
@@ -62,10 +65,16 @@
 
 def test_empty_budget_stops_second_sends_but_not_the_first():
     assert not may_try_again(progress(IDEMPOTENT, RAN), budget_allows=False)
-    unsent = progress(IDEMPOTENT, NOT, sent=0)
+    unsent = progress(IDEMPOTENT, NOT, sent=0, arrivals=0)
     assert may_try_again(unsent, budget_allows=False)
 
 
+def test_call_that_reached_another_target_counts_for_the_budget_only():
+    misdirected = progress(ONCE, NOT, max_attempts=1, sent=0, arrivals=1)
+    assert may_try_again(misdirected, budget_allows=True)
+    assert not may_try_again(misdirected, budget_allows=False)
+
+
 def test_refusal_never_promises_not_run_of_what_may_have_run():
     for failure in Failure:
         refusal = refusal_of(failure, RAN, random.Random(1))
--- /dev/null
+++ b/testing/edge/test_crashed_targets.py
@@ -0,0 +1,144 @@
+"""Plays the load after a quarter of the engines crashed, over a fleet of VMs."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from types import SimpleNamespace
+
+import pytest
+
+from edge.builders import ENGINES
+from edge.builders import edge_settings
+from edge.builders import prompt
+from edge.builders import target
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import TargetId
+from yuccafold.edge import Repeatability
+from yuccafold.edge._attempts import Failure
+from yuccafold.edge._forward import _blame
+from yuccafold.edge._health import Outcome
+from yuccafold.edge._targets import Targets
+from yuccafold.edge._view import PlatformView
+
+VMS = 30
+ENGINE_COUNT = 40
+PROMPTS = 300
+CALLS_A_SECOND = 250
+STEP = 1_000 // CALLS_A_SECOND
+READ_AGAIN_SHARE = 0.01
+"""No prompt needs to be read that a target in service holds; the rest are calls
+that meet before the first of them was answered."""
+
+
+def call_for(number):
+    head = SimpleNamespace(prompt=prompt((f"p{number}", 10_000), ("own", 1_300)))
+    return SimpleNamespace(
+        service=ENGINES, head=head, repeatability=Repeatability.RESUMABLE
+    )
+
+
+@dataclass
+class Fleet:
+    """VMs that place calls at engines, and what the engines keep in memory."""
+
+    rng: random.Random
+    vms: list[Targets] = field(default_factory=list)
+    views: list[PlatformView] = field(default_factory=list)
+    memory: dict[TargetId, set[int]] = field(default_factory=dict)
+    down: set[TargetId] = field(default_factory=set)
+    read_although_held: int = 0
+    calls: int = 0
+
+    def __post_init__(self):
+        records = [
+            target(f"t{n}", ENGINES, address=f"10.0.0.{n}:1")
+            for n in range(ENGINE_COUNT)
+        ]
+        self.memory = {record.id: set() for record in records}
+        for number in range(VMS):
+            view = PlatformView(Milliseconds(2_000))
+            for record in records:
+                view.put_target(record, Milliseconds(0))
+            rng = random.Random(number)
+            self.views.append(view)
+            self.vms.append(Targets(view, edge_settings(), rng))
+
+    def play(self, begin_s, end_s):
+        self.read_although_held = self.calls = 0
+        for now in range(begin_s * 1_000, end_s * 1_000, STEP):
+            number = self.rng.randrange(PROMPTS)
+            self.send(self.rng.choice(self.vms), number, Milliseconds(now))
+
+    def send(self, vm, number, now):
+        """Try targets as the router does; count a prompt that is read in vain."""
+        call = call_for(number)
+        tried = set()
+        self.calls += 1
+        while True:
+            placement = vm.place(call, tried, now)
+            chosen = placement.target.record
+            vm.start(chosen.id)
+            if chosen.id not in self.down:
+                break
+            vm.finish(call, chosen, _blame(Failure.UNREACHABLE), now)
+            tried.add(chosen.id)
+        self.take(chosen.id, placement.fetch_from, number)
+        vm.note_prompt(call, chosen.id, now)
+        vm.finish(call, chosen, Outcome.GOOD, now)
+
+    def take(self, chosen, source, number):
+        live = {name for name in self.memory if name not in self.down}
+        fetched = source is not None and source.record.id in live
+        has = number in self.memory[chosen] or (
+            fetched and number in self.memory[source.record.id]
+        )
+        held = any(number in self.memory[name] for name in live)
+        self.read_although_held += held and not has
+        self.memory[chosen].add(number)
+
+    def crash(self, share):
+        self.down = set(self.rng.sample(sorted(self.memory), int(share * ENGINE_COUNT)))
+        for name in self.down:
+            self.memory[name] = set()
+
+    def start_anew(self, now_s):
+        """Start a new engine at the address of each that crashed.
+
+        The entries of the old ones are still there: they end after some silence.
+        """
+        now = Milliseconds(now_s * 1_000)
+        for name in sorted(self.down):
+            record = target(
+                f"t{int(name[1:]) + 100}",
+                ENGINES,
+                address=f"10.0.0.{name[1:]}:1",
+                born_ms=now + 100_000,
+            )
+            self.memory[record.id] = set()
+            for view in self.views:
+                view.put_target(record, now)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_prompts_that_live_targets_hold_are_not_read_again_after_a_crash(seed):
+    fleet = Fleet(random.Random(seed))
+    fleet.play(0, 8)
+    fleet.crash(0.25)
+    fleet.play(8, 10)
+    fleet.start_anew(10)
+    fleet.play(10, 14)
+    assert fleet.read_although_held <= READ_AGAIN_SHARE * fleet.calls
+
+
+def test_target_whose_address_another_one_has_is_left_alone():
+    fleet = Fleet(random.Random(1))
+    vm, now = fleet.vms[0], Milliseconds(1_000)
+    call = call_for(1)
+    first = vm.place(call, (), now).target.record
+    vm.start(first.id)
+    vm.finish(call, first, _blame(Failure.REPLACED), now)
+    placement = vm.place(call, (), now)
+    assert placement.target.record.id != first.id
+    assert placement.fetch_from is None or placement.fetch_from.record.id != first.id
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -135,13 +135,15 @@
     page = view_page(confirmed_at=400)
     page._loads.start(TargetId("t1"))
     page._fleet.note_vm("vm-2", {TargetId("t1"): 3, TargetId("t2"): 1}, 900)
-    page._fleet.note_seed("seed-2", {TargetId("t2"): 5}, 900)
+    page._fleet.note_seed("seed-2", {TargetId("t2"): 5}, 4, 900)
     mine = LoadTable()
     mine.start(TargetId("t2"))
     await ask(page.answer, lambda source: source.changes(1, NO_WAIT), loads=mine)
     mine.start(TargetId("t2"))
     names = [TargetId("t1"), TargetId("t2"), TargetId("t3")]
     assert mine.of_all_vms(names, Milliseconds(100)) == [4, 8, 0]
+    # This one, the one that asks, the one that asked before, and four by a seed.
+    assert mine.vms == 7
 
 
 @on_trio
@@ -149,8 +151,8 @@
     page = view_page()
     page._loads.start(TargetId("t1"))
     page._fleet.note_vm("vm-2", {TargetId("t1"): 3}, 900)
-    page._fleet.note_seed("seed-2", {TargetId("t1"): 5}, 900)
-    assert await ask(page.answer, lambda source: source.loads()) == {"t1": 4}
+    page._fleet.note_seed("seed-2", {TargetId("t1"): 5}, 4, 900)
+    assert await ask(page.answer, lambda source: source.loads()) == ({"t1": 4}, 2)
 
 
 @on_trio
--- a/testing/edge/test_placement.py
+++ b/testing/edge/test_placement.py
@@ -111,7 +111,7 @@
         for vm, table in enumerate(tables):
             if told and (tick + vm) % 70 == 0:
                 total = sum((Counter(each.own()) for each in tables), Counter())
-                table.note_fleet(total, table.own(), now)
+                table.note_fleet(total, table.own(), size, now)
         loads = Counter(name for _, _, name in running)
         for _ in range(rng.choice((2, 3))):
             part = "hot" if rng.random() < hot else f"p{rng.randrange(400)}"
