Let VMs tell each other what targets fail, and leave silent ones

Cause: a target that takes calls and never answers was not noticed by streams: callers give up after three seconds, long before the deadline, and a call whose caller left says nothing of its target. And a VM of a large fleet sends each target a call every few seconds: it never sees the three failures that show a sick target. Ruled out: probes (a price, and targets whose checks lie answer them well); ending once-only calls sooner (their answer may still come). Change: VMs tell the seeds how calls ended at each target, with their running calls, and hear which targets fail by the sum. A target without an answer for three latency objectives counts as failed; calls that may be repeated go to another one if there is one, others wait on. Without the patience two of the new tests fail.

--- a/src/yuccafold/edge/_attempts.py
+++ b/src/yuccafold/edge/_attempts.py
@@ -11,10 +11,18 @@
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
 from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import Route
 
 SHORTEST_USEFUL_ATTEMPT = Milliseconds(30)
 """With less time left than this no target can answer: twice the shortest work."""
 
+PATIENCE_MULTIPLE = 3
+"""Latency objectives after which a target without an answer is taken for silent:
+callers give streams up after four."""
+
+SHORTEST_PATIENCE = Milliseconds(300)
+"""The least time that a target has for its answer: ten times the work of a call."""
+
 RETRY_SOON = Milliseconds(60)
 """When a caller may come back after one target refused: others may have room."""
 
@@ -79,6 +87,12 @@
     return progress.sent < progress.max_attempts and budget_allows
 
 
+def patience_of(route: Route) -> Milliseconds:
+    """Return how long a target may take for the head of its answer."""
+    objective = route.latency_objective
+    return Milliseconds(max(SHORTEST_PATIENCE, PATIENCE_MULTIPLE * objective))
+
+
 def refusal_of(failure: Failure, verdict: Verdict, rng: random.Random) -> Refusal:
     """Return what a caller is told when its call is not tried again."""
     if verdict is not Verdict.NOT_RUN:
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -5,6 +5,7 @@
 import random
 from typing import final
 
+import h11
 import trio
 
 from yuccafold._clock import MS_PER_SECOND
@@ -19,6 +20,7 @@
 from yuccafold.edge._attempts import may_try_again
 from yuccafold.edge._attempts import no_target
 from yuccafold.edge._attempts import out_of_time
+from yuccafold.edge._attempts import patience_of
 from yuccafold.edge._attempts import refusal_of
 from yuccafold.edge._call import Call
 from yuccafold.edge._call import RunRecord
@@ -26,7 +28,9 @@
 from yuccafold.edge._exchange import Exchange
 from yuccafold.edge._health import Outcome
 from yuccafold.edge._metrics import EdgeMetrics
+from yuccafold.edge._model import AnswerFacts
 from yuccafold.edge._model import Forwarding
+from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._placement import Placement
 from yuccafold.edge._platform_source import CallTranslator
 from yuccafold.edge._relay import FIRST_SERVER_ERROR
@@ -62,7 +66,7 @@
         self._pool = pool
         self._translator = translator
         self._metrics = metrics
-        self._retries = Retries(settings, targets.loads)
+        self._retries = Retries(settings, targets.evidence.loads)
 
     async def forward(self, call: Call, responder: EdgeResponder) -> Refusal | None:
         """Answer ``call``; return why it was refused or broken off, if it was."""
@@ -100,6 +104,9 @@
             connects += not failure.sent
             if connects > MAX_CONNECTS or not self._may_try_again(call, relay, record):
                 break
+            if record.arrivals:
+                self._retries.spend(call.service)
+                self._metrics.count("retries", service=call.service)
         if await relay.pass_kept():
             return None
         return refusal_of(failure, record.verdict, self._rng)
@@ -125,11 +132,7 @@
         )
         if relay.started and relay.resume_after is None:
             return False
-        again = may_try_again(progress, self._retries.has_token(call.service))
-        if again and record.arrivals:
-            self._retries.spend(call.service)
-            self._metrics.count("retries", service=call.service)
-        return again
+        return may_try_again(progress, self._retries.has_token(call.service))
 
     async def _attempt(
         self,
@@ -147,7 +150,7 @@
             await exchange.open()
             self._check_target(call, placement)
             self._log_placed(call, placement, exchange.reused)
-            await self._run(call, placement, exchange, relay)
+            await self._run(call, placement, exchange, relay, record)
             outcome = Outcome.GOOD
         except AttemptFailedError as error:
             outcome = _blame(error.failure)
@@ -175,6 +178,7 @@
         placement: Placement,
         exchange: Exchange,
         relay: AnswerRelay,
+        record: RunRecord,
     ) -> None:
         now = self._clock.now()
         target = placement.target.record
@@ -189,7 +193,7 @@
         )
         headers = self._translator.target_headers(call.headers, forwarding)
         await exchange.send(headers)
-        head, facts = await exchange.receive_head()
+        head, facts = await self._receive_head(call, target, exchange, relay, record)
         self._targets.note_prompt(call, target.id, self._clock.now())
         self._metrics.time("first_byte_ms", self._clock.now() - now, call.service)
         if facts.load is not None:
@@ -198,6 +202,28 @@
             self._metrics.count("target_errors", service=call.service)
         await relay.pass_on(exchange, head)
 
+    async def _receive_head(
+        self,
+        call: Call,
+        target: TargetRecord,
+        exchange: Exchange,
+        relay: AnswerRelay,
+        record: RunRecord,
+    ) -> tuple[h11.Response, AnswerFacts]:
+        """Return the head of the answer; give a silent target up if another may do.
+
+        Where no other may, a late answer is better than none.
+        """
+        patience = patience_of(call.admitted.route)
+        with trio.move_on_after(patience / MS_PER_SECOND):
+            return await exchange.receive_head()
+        has_other = self._targets.has_other(call, target, self._clock.now())
+        if has_other and self._may_try_again(call, relay, record):
+            raise AttemptFailedError(Failure.SILENT, f"no answer for {patience} ms")
+        self._targets.note_silence(call, target, self._clock.now())
+        log_event("target_silent", call=call.head.id, target=target.id)
+        return await exchange.receive_head()
+
     def _log_placed(self, call: Call, placement: Placement, reused: bool) -> None:
         source = placement.fetch_from
         log_event(
--- a/src/yuccafold/edge/_health.py
+++ b/src/yuccafold/edge/_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -137,14 +138,24 @@
         self._scores.pop(target, None)
 
     def usable(
-        self, targets: Sequence[KnownTarget], repeatable: bool, now: Milliseconds
+        self,
+        targets: Sequence[KnownTarget],
+        repeatable: bool,
+        now: Milliseconds,
+        sick: Collection[TargetId] = (),
     ) -> list[KnownTarget]:
-        """Return ``targets`` without those to avoid, or all if too many are sick."""
+        """Return ``targets`` without those to avoid, or half if too many are sick.
+
+        ``sick`` are targets to avoid by what other VMs saw.
+        """
         well = [
-            known for known in targets if self._takes(known.record.id, repeatable, now)
+            known
+            for known in targets
+            if known.record.id not in sick
+            and self._takes(known.record.id, repeatable, now)
         ]
         if len(well) < len(targets) * (1 - MAX_AVOIDED_SHARE):
-            return self._least_sick(targets, now)
+            return self._least_sick(targets, now, sick)
         return well
 
     def is_down(self, target: TargetId) -> bool:
@@ -159,16 +170,21 @@
             score.trial_running = True
 
     def _least_sick(
-        self, targets: Sequence[KnownTarget], now: Milliseconds
+        self,
+        targets: Sequence[KnownTarget],
+        now: Milliseconds,
+        sick: Collection[TargetId],
     ) -> list[KnownTarget]:
         """Return the half of ``targets`` that failed least."""
         keep = max(1, round(len(targets) * MAX_AVOIDED_SHARE + 0.5))
 
-        def badness(known: KnownTarget) -> tuple[float, float]:
+        def badness(known: KnownTarget) -> tuple[bool, float, float]:
+            is_sick = known.record.id in sick
             score = self._scores.get(known.record.id)
             if score is None:
-                return 0.0, 0.0
-            return max(0, (score.avoided_until or 0) - now), score.failed_share
+                return is_sick, 0.0, 0.0
+            avoided_for = max(0, (score.avoided_until or 0) - now)
+            return is_sick, avoided_for, score.failed_share
 
         return sorted(targets, key=badness)[:keep]
 
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -19,24 +19,21 @@
 
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
-from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold._log import log_event
 from yuccafold.edge._delta import apply_delta
 from yuccafold.edge._delta import make_delta
 from yuccafold.edge._entries import LONG_VALUE_BYTES
 from yuccafold.edge._entries import EntryTable
-from yuccafold.edge._fleet_loads import FleetLoads
-from yuccafold.edge._fleet_loads import Loads
-from yuccafold.edge._fleet_loads import read_loads
-from yuccafold.edge._fleet_loads import write_loads
-from yuccafold.edge._placement import LoadTable
 from yuccafold.edge._platform_source import Entry
 from yuccafold.edge._platform_source import PlatformChanges
 from yuccafold.edge._platform_source import PlatformState
 from yuccafold.edge._platform_source import PlatformUnavailableError
 from yuccafold.edge._settings import SocketAddress
 from yuccafold.edge._view import PlatformView
+from yuccafold.edge._vm_reports import FleetReports
+from yuccafold.edge._vm_reports import TargetEvidence
+from yuccafold.edge._vm_reports import VmReport
 from yuccafold.http import CallFailedError
 from yuccafold.http import CallLimits
 from yuccafold.http import KeptConnection
@@ -45,7 +42,7 @@
 """A VM of the region answers in a few ms; a frozen one must be noticed in time."""
 
 VIEW_PATH = "/view"
-LOADS_PATH = "/loads"
+REPORTS_PATH = "/reports"
 
 ANSWER_BYTES = 16_384
 """Size from which an answer ends: 30 ms on the slowest links of 5 Mbit/s."""
@@ -53,7 +50,7 @@
 
 @final
 class PeerSource:
-    """Reads the platform's entries from another VM, and tells it our calls.
+    """Reads the platform's entries from another VM, and tells it of our calls.
 
     ``table`` holds what this VM has, which differences build on.
     """
@@ -63,14 +60,14 @@
         vm: VmId,
         address: SocketAddress,
         table: EntryTable,
-        loads: LoadTable,
+        evidence: TargetEvidence,
         clock: Clock,
         limits: CallLimits = LIMITS,
     ) -> None:
         self._vm = vm
         self._address = address
         self._table = table
-        self._loads = loads
+        self._evidence = evidence
         self._clock = clock
         self._connection = KeptConnection(address.host, address.port, limits)
 
@@ -81,36 +78,33 @@
 
     async def read_all(self) -> PlatformState:
         """Return the other VM's whole view."""
-        changes, _ = await self._get(VIEW_PATH, {})
+        changes, _ = await self._get(VIEW_PATH, VmReport())
         return PlatformState(changes.entries, changes.position, changes.age)
 
     async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
         """Return what the other VM has behind ``after``; it never waits."""
-        own = self._loads.own()
-        query = {"after": after, "vm": self._vm, "loads": write_loads(own)}
+        own = self._evidence.own_report(self._clock.now())
+        query = {"after": after, "vm": self._vm} | own.as_fields()
         changes, is_whole = await self._get(f"{VIEW_PATH}?{urlencode(query)}", own)
         if is_whole:
             raise PlatformUnavailableError("has forgotten what changed")
         return changes
 
-    async def loads(self) -> tuple[dict[TargetId, int], int]:
-        """Return the calls of the VMs that ask the other VM and its own, and how
-        many VMs that are.
-        """
+    async def report(self) -> VmReport:
+        """Return the report of the VMs that ask the other VM, and its own."""
         try:
-            status, body = await self._connection.get(LOADS_PATH)
+            status, body = await self._connection.get(REPORTS_PATH)
             if status != 200:
                 raise PlatformUnavailableError(f"status {status}")
-            answer = json.loads(body)
-            return read_loads(str(answer["loads"])), int(answer["vms"])
-        except (CallFailedError, ValueError, TypeError, KeyError) as error:
+            return VmReport.from_fields(json.loads(body))
+        except (CallFailedError, ValueError, TypeError, AttributeError) as error:
             raise PlatformUnavailableError(repr(error)) from error
 
     async def close(self) -> None:
         """Close the connection."""
         await self._connection.close()
 
-    async def _get(self, target: str, own: Loads) -> tuple[PlatformChanges, bool]:
+    async def _get(self, target: str, own: VmReport) -> tuple[PlatformChanges, bool]:
         try:
             status, body = await self._connection.get(target)
         except CallFailedError as error:
@@ -127,10 +121,9 @@
                 bool(answer["in_outage"]),
                 not answer.get("more", False),
             )
-            total = read_loads(str(answer.get("loads", "")))
-            vms = int(answer.get("vms", 0))
-            if total or vms:
-                self._loads.note_fleet(total, own, vms, self._clock.now())
+            if "loads" in answer:
+                total = VmReport.from_fields(answer)
+                self._evidence.note_fleet(total, own, self._clock.now())
             return changes, bool(answer["whole"])
         except (ValueError, TypeError, KeyError, zlib.error) as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
@@ -162,13 +155,13 @@
         clock: Clock,
         table: EntryTable,
         view: PlatformView,
-        loads: LoadTable,
-        fleet: FleetLoads,
+        evidence: TargetEvidence,
+        fleet: FleetReports,
     ) -> None:
         self._clock = clock
         self._table = table
         self._view = view
-        self._loads = loads
+        self._evidence = evidence
         self._fleet = fleet
         self._packed: dict[str, dict[tuple[int, int], dict[str, Any]]] = {}
 
@@ -176,16 +169,15 @@
         """Return status and body for a request of another VM."""
         now = self._clock.now()
         parts = urlsplit(target)
-        if parts.path == LOADS_PATH:
-            loads = write_loads(self._fleet.partial(self._loads.own(), now))
-            vms = self._fleet.partial_vms(now)
-            return 200, json.dumps({"loads": loads, "vms": vms})
+        own = self._evidence.own_report(now)
+        if parts.path == REPORTS_PATH:
+            return 200, json.dumps(self._fleet.partial(own, now).as_fields())
         age = self._view.age(now)
         if age is None:
             return 503, "no view yet\n"
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         after = query.get("after", "")
-        self._note_loads(query, now)
+        self._note_report(query, now)
         position = int(after) if after.isdigit() else 0
         known = self._table.since(position) if position else None
         value: dict[str, Any] = {
@@ -193,9 +185,7 @@
             "in_outage": self._view.in_outage(now),
             "whole": known is None,
             "position": self._table.position,
-            "loads": write_loads(self._fleet.total(self._loads.own(), now)),
-            "vms": self._fleet.total_vms(now),
-        }
+        } | self._fleet.total(own, now).as_fields()
         if known is None:
             rows = [self._row(entry, 0) for entry in self._table.present()]
         else:
@@ -205,15 +195,15 @@
                 value["more"] = True
         return 200, json.dumps(value | {"entries": rows})
 
-    def _note_loads(self, query: dict[str, str], now: Milliseconds) -> None:
-        """Take the calls that the asking VM tells of."""
+    def _note_report(self, query: dict[str, str], now: Milliseconds) -> None:
+        """Take what the asking VM tells of its calls."""
         try:
-            loads = read_loads(query.get("loads", ""))
+            report = VmReport.from_fields(query)
         except ValueError as error:
-            log_event("loads_malformed", vm=query.get("vm"), error=str(error))
+            log_event("report_malformed", vm=query.get("vm"), error=str(error))
             return
         if "vm" in query:
-            self._fleet.note_vm(query["vm"], loads, now)
+            self._fleet.note_vm(query["vm"], report, now)
 
     def _rows_within(
         self, entries: Sequence[Entry], position: int
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -16,7 +16,6 @@
 from yuccafold._supervisor import Supervisor
 from yuccafold.edge._caller import EdgeCaller
 from yuccafold.edge._entries import EntryTable
-from yuccafold.edge._fleet_loads import FleetLoads
 from yuccafold.edge._forward import EdgeForwarder
 from yuccafold.edge._gate import Gate
 from yuccafold.edge._metrics import EdgeMetrics
@@ -33,6 +32,7 @@
 from yuccafold.edge._settings import SocketAddress
 from yuccafold.edge._targets import Targets
 from yuccafold.edge._view import PlatformView
+from yuccafold.edge._vm_reports import FleetReports
 from yuccafold.http import ConnectionPool
 from yuccafold.http import Listener
 
@@ -56,8 +56,9 @@
 DRAIN_POLL = Milliseconds(50)
 """How often a stopping process looks whether its calls have ended."""
 
-SHARE_LOADS = Milliseconds(600)
-"""How often seeds tell each other loads: generations last one to four seconds."""
+SHARE_REPORTS = Milliseconds(600)
+"""How often seeds tell each other what VMs told them: calls last one to four
+seconds."""
 
 POOL_SWEEP = Milliseconds(1_000)
 """How often idle connections past their time are closed."""
@@ -89,7 +90,7 @@
             clock, rng, settings, self._targets, self._pool, translator, self._metrics
         )
         self._table = EntryTable()
-        self._fleet = FleetLoads()
+        self._fleet = FleetReports()
         self._reader = ViewReader(
             clock,
             rng,
@@ -164,7 +165,7 @@
         children = [
             ChildSpec("reader", self._reader.run),
             ChildSpec("pool", self._sweep_pool),
-            ChildSpec("loads", self._share_loads),
+            ChildSpec("reports", self._share_reports),
         ]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(supervisor.run, children)
@@ -185,7 +186,7 @@
 
     def _peer(self, seed: SocketAddress) -> PeerSource:
         return PeerSource(
-            self._settings.vm, seed, self._table, self._targets.loads, self._clock
+            self._settings.vm, seed, self._table, self._targets.evidence, self._clock
         )
 
     def _page_servers(self) -> list[tuple[SocketAddress, PageServer]]:
@@ -193,7 +194,11 @@
         servers = [(settings.readiness, PageServer(self._readiness))]
         if settings.peers is not None:
             page = ViewPage(
-                self._clock, self._table, self._view, self._targets.loads, self._fleet
+                self._clock,
+                self._table,
+                self._view,
+                self._targets.evidence,
+                self._fleet,
             )
             servers.append((settings.peers, PageServer(page.answer)))
         if settings.metrics_port:
@@ -241,32 +246,31 @@
         self._metrics.gauge("targets_leaving", leaving)
         return 200, self._metrics.render()
 
-    async def _share_loads(self) -> None:
-        """As a seed, tell the other seeds the calls of the VMs that ask us."""
+    async def _share_reports(self) -> None:
+        """As a seed, ask the other seeds for the reports of VMs that ask them."""
         peers: dict[SocketAddress, PeerSource] = {}
         while True:
-            await trio.sleep(SHARE_LOADS / MS_PER_SECOND)
+            await trio.sleep(SHARE_REPORTS / MS_PER_SECOND)
             settings = self._settings
             if settings.peers not in settings.seeds:
                 continue
             for seed in settings.seeds:
                 if seed != settings.peers:
                     peer = peers.setdefault(seed, self._peer(seed))
-                    await self._ask_loads(seed, peer)
-            own = self._targets.loads.own()
+                    await self._ask_report(seed, peer)
             now = self._clock.now()
+            own = self._targets.evidence.own_report(now)
             total = self._fleet.total(own, now)
-            vms = self._fleet.total_vms(now)
-            self._targets.loads.note_fleet(total, own, vms, now)
+            self._targets.evidence.note_fleet(total, own, now)
 
-    async def _ask_loads(self, seed: SocketAddress, peer: PeerSource) -> None:
+    async def _ask_report(self, seed: SocketAddress, peer: PeerSource) -> None:
         """Take the sum of another seed; without it that seed's VMs do not count."""
         try:
-            loads, vms = await peer.loads()
+            report = await peer.report()
         except PlatformUnavailableError:
-            self._metrics.count("load_failures", seed=seed)
+            self._metrics.count("report_failures", seed=seed)
             return
-        self._fleet.note_seed(str(seed), loads, vms, self._clock.now())
+        self._fleet.note_seed(str(seed), report, self._clock.now())
 
     async def _sweep_pool(self) -> None:
         while True:
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -19,13 +19,13 @@
 from yuccafold.edge._model import TargetLoad
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._placement import HolderMemory
-from yuccafold.edge._placement import LoadTable
 from yuccafold.edge._placement import Placement
 from yuccafold.edge._placement import PlainPlacement
 from yuccafold.edge._placement import PromptPlacement
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._view import KnownTarget
 from yuccafold.edge._view import PlatformView
+from yuccafold.edge._vm_reports import TargetEvidence
 
 
 @final
@@ -37,17 +37,17 @@
     ) -> None:
         self._view = view
         self._health = TargetHealth()
-        self._loads = LoadTable()
+        self._evidence = TargetEvidence()
         self._holders = HolderMemory()
         self._prompts = PromptPlacement(
-            self._loads, self._holders, settings.load_multiple, rng
+            self._evidence.loads, self._holders, settings.load_multiple, rng
         )
-        self._plain = PlainPlacement(self._loads, settings.zone, rng)
+        self._plain = PlainPlacement(self._evidence.loads, settings.zone, rng)
 
     @property
-    def loads(self) -> LoadTable:
-        """How busy each target is."""
-        return self._loads
+    def evidence(self) -> TargetEvidence:
+        """What calls show of targets, ours and those of all VMs."""
+        return self._evidence
 
     def place(
         self, call: Call, tried: Collection[TargetId], now: Milliseconds
@@ -56,7 +56,9 @@
         ready = self._view.ready(call.service, now)
         repeatable = call.repeatability is not Repeatability.ONCE
         untried = [known for known in ready if known.record.id not in tried]
-        usable = self._health.usable(untried, repeatable, now)
+        names = [known.record.id for known in ready]
+        sick = self._evidence.outcomes.sick(names, now)
+        usable = self._health.usable(untried, repeatable, now, sick)
         if call.head.prompt:
             holders = self._possible_holders(call.service)
             return self._prompts.choose(call.head.prompt, usable, holders, now)
@@ -73,6 +75,11 @@
             if not self._health.is_down(known.record.id)
         ]
 
+    def has_other(self, call: Call, target: TargetRecord, now: Milliseconds) -> bool:
+        """Return whether a call may go to another target than ``target``."""
+        ready = self._view.ready(call.service, now)
+        return any(known.record.id != target.id for known in ready)
+
     def may_send(self, target: TargetRecord, now: Milliseconds) -> bool:
         """Return whether a target may still get a call."""
         return self._view.may_send(target, now)
@@ -83,14 +90,25 @@
 
     def start(self, target: TargetId) -> None:
         """Count a call that is about to go to ``target``."""
-        self._loads.start(target)
+        self._evidence.loads.start(target)
         self._health.start(target)
 
     def finish(
         self, call: Call, target: TargetRecord, outcome: Outcome, now: Milliseconds
     ) -> None:
         """Count the end of a call and judge the target by it."""
-        self._loads.finish(target.id)
+        self._evidence.loads.finish(target.id)
+        self._judge(call, target, outcome, now)
+
+    def note_silence(self, call: Call, target: TargetRecord, now: Milliseconds) -> None:
+        """Judge a target by a call that it leaves unanswered for too long."""
+        self._judge(call, target, Outcome.FAILED, now)
+
+    def _judge(
+        self, call: Call, target: TargetRecord, outcome: Outcome, now: Milliseconds
+    ) -> None:
+        if outcome is not Outcome.UNKNOWN:
+            self._evidence.outcomes.note(target.id, outcome is Outcome.GOOD, now)
         peers = [known.record.id for known in self._view.present(target.service)]
         limits = PROMPT_LIMITS if call.head.prompt else PLAIN_LIMITS
         if self._health.note(target.id, outcome, peers, now, limits):
@@ -102,10 +120,11 @@
 
     def note_load(self, target: TargetId, load: TargetLoad, now: Milliseconds) -> None:
         """Take a target's own word on its load."""
-        self._loads.report(target, load, now)
+        self._evidence.loads.report(target, load, now)
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of a target that started anew or is gone."""
         self._health.forget(target)
-        self._loads.forget(target)
+        self._evidence.loads.forget(target)
+        self._evidence.outcomes.forget(target)
         self._holders.forget_target(target)
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -34,6 +34,8 @@
     """Runs calls and answers without a signature."""
     FOREIGN = "foreign"
     """Answers with the id of another call."""
+    HANGING = "hanging"
+    """Runs calls and never answers."""
     BREAKING = "breaking"
     """Runs a stream and closes within it."""
 
@@ -123,6 +125,8 @@
 
     async def _answer(self, exchange: Exchange, attempt: str) -> None:
         headers = self._headers(attempt)
+        if self.mood is Mood.HANGING:
+            await trio.sleep_forever()
         if self.mood is Mood.FAILING:
             await exchange.respond(500, b"failed", headers)
         elif exchange.request.path.startswith("/chat/"):
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -16,18 +16,20 @@
 from yuccafold.edge import PlatformUnavailableError
 from yuccafold.edge import SocketAddress
 from yuccafold.edge._entries import EntryTable
-from yuccafold.edge._fleet_loads import FleetLoads
+from yuccafold.edge._outcomes import Seen
 from yuccafold.edge._pages import PageServer
 from yuccafold.edge._peers import PeerSource
 from yuccafold.edge._peers import ViewPage
-from yuccafold.edge._placement import LoadTable
 from yuccafold.edge._view import PlatformView
+from yuccafold.edge._vm_reports import FleetReports
+from yuccafold.edge._vm_reports import TargetEvidence
+from yuccafold.edge._vm_reports import VmReport
 from yuccafold.http import Listener
 
 NO_WAIT = Milliseconds(0)
 
 
-async def ask(page, question, table=None, loads=None, limits=PATIENT):
+async def ask(page, question, table=None, evidence=None, limits=PATIENT):
     """Serve ``page`` as a VM does and return what ``question(source)`` gives."""
     listener = await Listener.open("127.0.0.1:0", 4)
     address = SocketAddress.parse(listener.address)
@@ -35,7 +37,7 @@
         VmId("vm-9"),
         address,
         table or EntryTable(),
-        loads or LoadTable(),
+        evidence or TargetEvidence(),
         ManualClock(),
         limits,
     )
@@ -59,7 +61,7 @@
     view = PlatformView(Milliseconds(2_000))
     if confirmed_at is not None:
         view.confirm(Milliseconds(confirmed_at))
-    return ViewPage(ManualClock(now), table, view, LoadTable(), FleetLoads())
+    return ViewPage(ManualClock(now), table, view, TargetEvidence(), FleetReports())
 
 
 @on_trio
@@ -130,15 +132,31 @@
     assert (second.position, second.is_last) == (12, True)
 
 
+def report(calls, vms=1):
+    return VmReport({TargetId(name): n for name, n in calls.items()}, vms=vms)
+
+
+@on_trio
+async def test_vms_learn_what_targets_failed_at_others():
+    page = view_page(confirmed_at=400)
+    seen = {TargetId("t1"): Seen(0.5, 4.0), TargetId("t2"): Seen(9.0, 0.0)}
+    page._fleet.note_vm("vm-2", VmReport({}, seen), 900)
+    evidence = TargetEvidence()
+    await ask(page.answer, lambda s: s.changes(1, NO_WAIT), evidence=evidence)
+    names = [TargetId("t1"), TargetId("t2")]
+    assert evidence.outcomes.sick(names, Milliseconds(0)) == {"t1"}
+
+
 @on_trio
 async def test_vms_learn_the_calls_of_all_vms_from_a_seed():
     page = view_page(confirmed_at=400)
-    page._loads.start(TargetId("t1"))
-    page._fleet.note_vm("vm-2", {TargetId("t1"): 3, TargetId("t2"): 1}, 900)
-    page._fleet.note_seed("seed-2", {TargetId("t2"): 5}, 4, 900)
-    mine = LoadTable()
+    page._evidence.loads.start(TargetId("t1"))
+    page._fleet.note_vm("vm-2", report({"t1": 3, "t2": 1}), 900)
+    page._fleet.note_seed("seed-2", report({"t2": 5}, vms=4), 900)
+    evidence = TargetEvidence()
+    mine = evidence.loads
     mine.start(TargetId("t2"))
-    await ask(page.answer, lambda source: source.changes(1, NO_WAIT), loads=mine)
+    await ask(page.answer, lambda source: source.changes(1, NO_WAIT), evidence=evidence)
     mine.start(TargetId("t2"))
     names = [TargetId("t1"), TargetId("t2"), TargetId("t3")]
     assert mine.of_all_vms(names, Milliseconds(100)) == [4, 8, 0]
@@ -149,14 +167,15 @@
 @on_trio
 async def test_seeds_tell_each_other_only_what_others_told_them():
     page = view_page()
-    page._loads.start(TargetId("t1"))
-    page._fleet.note_vm("vm-2", {TargetId("t1"): 3}, 900)
-    page._fleet.note_seed("seed-2", {TargetId("t1"): 5}, 4, 900)
-    assert await ask(page.answer, lambda source: source.loads()) == ({"t1": 4}, 2)
+    page._evidence.loads.start(TargetId("t1"))
+    page._fleet.note_vm("vm-2", report({"t1": 3}), 900)
+    page._fleet.note_seed("seed-2", report({"t1": 5}, vms=4), 900)
+    told = await ask(page.answer, lambda source: source.report())
+    assert told == report({"t1": 4}, vms=2)
 
 
 @on_trio
-async def test_malformed_loads_are_ignored():
+async def test_malformed_report_is_ignored():
     page = view_page(confirmed_at=400)
     status, _ = page.answer("/view?after=1&vm=x&loads=t1:many")
     assert status == 200
@@ -220,7 +239,9 @@
 async def test_vm_that_stays_silent_is_no_source():
     silent = await Listener.open("127.0.0.1:0", 4)
     address = SocketAddress.parse(silent.address)
-    source = PeerSource(VmId("vm-9"), address, EntryTable(), LoadTable(), ManualClock())
+    source = PeerSource(
+        VmId("vm-9"), address, EntryTable(), TargetEvidence(), ManualClock()
+    )
     unavailable = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(silent.run, lambda _: trio.sleep_forever())
@@ -235,6 +256,8 @@
 @on_trio
 async def test_vm_that_is_gone_is_no_source():
     address = SocketAddress("127.0.0.1", 1)
-    source = PeerSource(VmId("vm-9"), address, EntryTable(), LoadTable(), ManualClock())
+    source = PeerSource(
+        VmId("vm-9"), address, EntryTable(), TargetEvidence(), ManualClock()
+    )
     with pytest.raises(PlatformUnavailableError):
         await source.read_all()
--- a/testing/edge/test_router.py
+++ b/testing/edge/test_router.py
@@ -296,6 +296,52 @@
         assert 0 < int(sent.header("x-deadline-ms")) <= 700
 
 
+@on_trio
+async def test_lookup_leaves_a_silent_target_for_another():
+    targets = [target("t1"), target("t2")]
+    routes = (wire_route("/look/", "safe", target_latency_ms=100),)
+    async with edge(*targets, routes=routes) as fleet:
+        for each in targets:
+            each.mood = Mood.HANGING
+            other = next(found for found in targets if found is not each)
+            other.mood = Mood.WELL
+            for _ in range(2):
+                status, _, body = await fleet.call("GET", "/look/1")
+                assert (status, body) == (200, b"found")
+    assert all(each.abandoned for each in targets if each.runs[0:1])
+
+
+@on_trio
+async def test_stream_that_may_resume_leaves_a_silent_target_for_another():
+    targets = [target("t1"), target("t2")]
+    routes = (wire_route("/chat/", "streaming", resumable=True, target_latency_ms=100),)
+    async with edge(*targets, routes=routes) as fleet:
+        targets[0].mood = Mood.HANGING
+        for _ in range(4):
+            status, _, body = await fleet.call("POST", "/chat/1", b"q")
+            assert status == 200
+            assert b"token 4" in body
+
+
+@on_trio
+async def test_call_that_runs_once_stays_with_a_silent_target():
+    slow = target("t1", work_ms=500)
+    routes = (wire_route("/book/", "unsafe", target_latency_ms=50),)
+    async with edge(slow, target("t2", work_ms=500), routes=routes) as fleet:
+        status, _, _ = await fleet.call("POST", "/book/1", b"seat")
+        assert status == 200
+        assert len(fleet.runs) == 1
+
+
+@on_trio
+async def test_lookup_waits_on_where_no_other_target_is():
+    routes = (wire_route("/look/", "safe", target_latency_ms=50),)
+    async with edge(target("t1", work_ms=500), routes=routes) as fleet:
+        status, _, _ = await fleet.call("GET", "/look/1")
+        assert status == 200
+        assert len(fleet.runs) == 1
+
+
 @on_trio
 async def test_target_is_released_when_the_caller_leaves():
     async with edge(target(work_ms=5_000)) as found:
