Leave a store alone that is down for the seeds too

Ruled out: not asking it at all (a store that turns only seeds away must still reach every VM within the lifetime of keys). Change: a VM that asks others leaves a store that failed alone for a quarter of a key's lifetime; it goes on asking the seeds, which are the first to know.

--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -42,6 +42,10 @@
 """The same between two questions to a seed: with the share above and the time to ask
 another one, a change is in force in time whichever VM fails."""
 
+STORE_REST_SHARE = 0.25
+"""Share of a key's lifetime between two failed reads of the store by a VM that asks
+others: keys are honoured long enough for three more tries."""
+
 AGE_SLACK = Milliseconds(250)
 """How much older than one confirmation a seed's view may be when it answers."""
 
@@ -114,7 +118,11 @@
     def use(self, settings: EdgeSettings, peers: list[PlatformSource]) -> None:
         """Read from the store and ``peers`` as ``settings`` say, from now on."""
         self._choice = SourceChoice(
-            self._store, peers, settings.reads_platform, self._rng
+            self._store,
+            peers,
+            settings.reads_platform,
+            self._rng,
+            Milliseconds(round(settings.key_lifetime * STORE_REST_SHARE)),
         )
         self._follows = settings.reads_platform
         self._confirm_pause = confirm_pause(settings)
--- a/testing/edge/test_reader.py
+++ b/testing/edge/test_reader.py
@@ -317,6 +317,29 @@
     assert counts[60] == counts[5] <= 3 * 32
 
 
+def test_vms_do_not_press_a_store_that_is_down():
+    outage_s = 8
+    counts = {}
+
+    def count(size):
+        async def scenario(store, nodes):
+            await trio.sleep(3)
+            before = store.calls
+            store.down = True
+            await trio.sleep(outage_s)
+            counts[size] = store.calls - before
+            store.down = False
+            await trio.sleep(1.5)
+            assert all(node.age < 1_500 for node in nodes)
+
+        run_nodes(fleet(size), scenario)
+
+    count(5)
+    count(65)
+    # One call in a quarter of a key's lifetime of 5 s, and the first one.
+    assert counts[65] - counts[5] <= 60 * (outage_s / 1.25 + 1)
+
+
 def test_change_reaches_every_vm_of_a_fleet_in_time():
     async def scenario(store, nodes):
         store.put("op/config", catalogue(version=2))
--- a/testing/edge/test_source_choice.py
+++ b/testing/edge/test_source_choice.py
@@ -44,6 +44,16 @@
     assert names(SourceChoice(STORE, [], False, random.Random(1))) == ["store"]
 
 
+def test_store_that_failed_is_left_alone_by_vms_that_ask_others():
+    choice = SourceChoice(STORE, PEERS, False, random.Random(1), Milliseconds(1_250))
+    choice.failed(STORE, Milliseconds(0))
+    assert "store" not in names(choice, 1_249)
+    assert "store" in names(choice, 1_250)
+    seed = SourceChoice(STORE, PEERS, True, random.Random(1), Milliseconds(1_250))
+    seed.failed(STORE, Milliseconds(0))
+    assert "store" in names(seed, 1)
+
+
 def test_failed_source_comes_last_for_a_while():
     choice = SourceChoice(STORE, PEERS, False, random.Random(1))
     first = choice.order(Milliseconds(0))[0]
