Learn after which rest targets drop connections, and name told failures in the log

Cause: a target may drop an idle connection without notice and sooner than it said; whatever is sent next is reset, and a call that runs once is lost on it. Such calls took connections that had rested for up to 10 s, whatever happened. Ruled out: a fixed shorter rest (a new connection is priced, and 80 in 100 calls run once); sending again (it may have run). Logs say how long a connection had rested (`rested_ms`, before: `reused`), and which targets other VMs tell of as failing; prompts are not fetched from these either.

--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -14,7 +14,6 @@
 from yuccafold.edge._call import Call
 from yuccafold.edge._call import RunRecord
 from yuccafold.edge._model import AnswerFacts
-from yuccafold.edge._model import Repeatability
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._platform_source import CallTranslator
 from yuccafold.http import ConnectionPool
@@ -44,9 +43,6 @@
 IDLE_MARGIN = Milliseconds(500)
 """Taken off a stated idle timeout for the way there and a late wake-up."""
 
-ONCE_IDLE_LIMIT = Milliseconds(10_000)
-"""A call that runs once takes no connection idle for longer: it may be dead."""
-
 DISCARD_TIMEOUT = Milliseconds(50)
 """How long the rest of an unwanted answer may take; else the connection closes."""
 
@@ -86,21 +82,25 @@
         self._http: HttpStream | None = None
         self._request: h11.Request | None = None
         self._idle_timeout = UNSTATED_IDLE_TIMEOUT
-        self._reused = False
+        self._rested: Milliseconds | None = None
+        self._answered = False
+
+    @property
+    def rested(self) -> Milliseconds | None:
+        """How long the connection was idle before; ``None`` if it is new."""
+        return self._rested
 
     @property
-    def reused(self) -> bool:
-        """Whether the connection served earlier calls."""
-        return self._reused
-
-    async def open(self) -> None:
-        """Take an idle connection or make a new one."""
-        is_once = self._call.repeatability is not Repeatability.IDEMPOTENT
-        limit = ONCE_IDLE_LIMIT if is_once else None
-        entry = await self._pool.take(self._target.address, limit)
+    def answered(self) -> bool:
+        """Whether the target began an answer to the call."""
+        return self._answered
+
+    async def open(self, longest_rest: Milliseconds | None) -> None:
+        """Take a connection that rested no longer, or make a new one."""
+        entry = await self._pool.take(self._target.address, longest_rest)
         if entry is not None:
             self._http = entry.http
-            self._reused = True
+            self._rested = Milliseconds(self._pool.idle_ms(entry))
             return
         try:
             with trio.fail_after(CONNECT_TIMEOUT / MS_PER_SECOND):
@@ -139,6 +139,7 @@
                 raise AttemptFailedError(Failure.BROKEN, "closed without an answer")
             facts = self._translator.read_answer(tuple(event.headers))
             if facts.call_id in (None, self._call.head.id):
+                self._answered = True
                 break
             await self._skip_answer()
         if facts.idle_timeout is not None:
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -27,9 +27,11 @@
 from yuccafold.edge._exchange import AttemptFailedError
 from yuccafold.edge._exchange import Exchange
 from yuccafold.edge._health import Outcome
+from yuccafold.edge._idle_trust import IdleTrust
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import AnswerFacts
 from yuccafold.edge._model import Forwarding
+from yuccafold.edge._model import Repeatability
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._placement import Placement
 from yuccafold.edge._platform_source import CallTranslator
@@ -66,6 +68,7 @@
         self._pool = pool
         self._translator = translator
         self._metrics = metrics
+        self._idle_trust = IdleTrust()
         self._retries = Retries(settings, targets.evidence.loads)
 
     async def forward(self, call: Call, responder: EdgeResponder) -> Refusal | None:
@@ -147,13 +150,15 @@
         exchange = Exchange(call, target, self._pool, self._translator, record)
         self._targets.start(target.id)
         try:
-            await exchange.open()
+            await exchange.open(self._longest_rest(call))
             self._check_target(call, placement)
-            self._log_placed(call, placement, exchange.reused)
+            self._log_placed(call, placement, exchange.rested)
             await self._run(call, placement, exchange, relay, record)
             outcome = Outcome.GOOD
         except AttemptFailedError as error:
             outcome = _blame(error.failure)
+            if error.failure is Failure.BROKEN and not exchange.answered:
+                self._note_reset(call, exchange.rested)
             raise
         except trio.Cancelled:
             if self._clock.now() >= call.deadline and not relay.started:
@@ -164,6 +169,16 @@
             with trio.CancelScope(shield=True):
                 await exchange.close()
 
+    def _longest_rest(self, call: Call) -> Milliseconds | None:
+        """Return how long a connection may have rested that carries ``call``."""
+        if call.repeatability is Repeatability.IDEMPOTENT:
+            return None
+        return self._idle_trust.longest_rest(call.service, self._clock.now())
+
+    def _note_reset(self, call: Call, rested: Milliseconds | None) -> None:
+        if rested is not None:
+            self._idle_trust.note_reset(call.service, rested, self._clock.now())
+
     def _check_target(self, call: Call, placement: Placement) -> None:
         """Look once more right before the first byte: connecting took time."""
         now = self._clock.now()
@@ -224,7 +239,9 @@
         log_event("target_silent", call=call.head.id, target=target.id)
         return await exchange.receive_head()
 
-    def _log_placed(self, call: Call, placement: Placement, reused: bool) -> None:
+    def _log_placed(
+        self, call: Call, placement: Placement, rested: Milliseconds | None
+    ) -> None:
         source = placement.fetch_from
         log_event(
             "call_placed",
@@ -234,7 +251,7 @@
             reason=placement.reason,
             prompt=call.head.shared_parts[-1].id if call.head.shared_parts else None,
             fetch=None if source is None else source.record.id,
-            reused=reused,
+            rested_ms=rested,
             version=call.admitted.catalogue.version,
             view_age_ms=self._targets.view_age(self._clock.now()),
             left_ms=call.deadline - self._clock.now(),
--- a/src/yuccafold/edge/_outcomes.py
+++ b/src/yuccafold/edge/_outcomes.py
@@ -108,6 +108,14 @@
                 del self._own[target]
         return {target: faded[target] for target in self._own}
 
+    def newly_told(self, total: OutcomeTable) -> set[TargetId]:
+        """Return which targets look sick in ``total`` and were not told of before."""
+        return {
+            target
+            for target, seen in total.items()
+            if target not in self._others and target != REST and _looks_sick(seen)
+        }
+
     def note_fleet(
         self, total: OutcomeTable, own_then: OutcomeTable, now: Milliseconds
     ) -> None:
@@ -145,10 +153,12 @@
         return seen.faded(now - at)
 
 
+def _looks_sick(seen: Seen) -> bool:
+    return seen.failed >= SICK_FAILURES and seen.failed_share >= SICK_SHARE
+
+
 def _is_sick(seen: Seen, rest: Seen) -> bool:
-    if seen.failed < SICK_FAILURES or seen.failed_share < SICK_SHARE:
-        return False
-    return seen.failed_share >= SICK_MULTIPLE * rest.failed_share
+    return _looks_sick(seen) and seen.failed_share >= SICK_MULTIPLE * rest.failed_share
 
 
 def write_outcomes(outcomes: OutcomeTable) -> str:
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -242,6 +242,7 @@
         self._metrics.gauge("connections", len(self._callers))
         self._metrics.gauge("settings_version", self._view.version)
         self._metrics.gauge("view_age_ms", self._view.age(self._clock.now()) or 0)
+        self._metrics.gauge("vms", self._targets.evidence.loads.vms)
         self._metrics.gauge("targets", targets)
         self._metrics.gauge("targets_leaving", leaving)
         return 200, self._metrics.render()
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -60,19 +60,22 @@
         sick = self._evidence.outcomes.sick(names, now)
         usable = self._health.usable(untried, repeatable, now, sick)
         if call.head.prompt:
-            holders = self._possible_holders(call.service)
+            holders = self._possible_holders(call.service, sick)
             return self._prompts.choose(call.head.prompt, usable, holders, now)
         return self._plain.choose(usable, now)
 
-    def _possible_holders(self, service: ServiceId) -> list[KnownTarget]:
+    def _possible_holders(
+        self, service: ServiceId, sick: Collection[TargetId]
+    ) -> list[KnownTarget]:
         """Return the targets that a prompt may be fetched from.
 
-        A target that can't be reached has most likely crashed and lost its memory.
+        A target that can't be reached has most likely crashed and lost its memory;
+        one that fails its calls may fail to hand a prompt over too.
         """
         return [
             known
             for known in self._view.present(service)
-            if not self._health.is_down(known.record.id)
+            if known.record.id not in sick and not self._health.is_down(known.record.id)
         ]
 
     def has_other(self, call: Call, target: TargetRecord, now: Milliseconds) -> bool:
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -16,6 +16,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
+from yuccafold._log import log_event
 from yuccafold.edge._outcomes import OutcomeTable
 from yuccafold.edge._outcomes import RecentOutcomes
 from yuccafold.edge._outcomes import add_outcomes
@@ -123,5 +124,14 @@
         self, total: VmReport, own_then: VmReport, now: Milliseconds
     ) -> None:
         """Take the report of all VMs, which holds ours as told then."""
+        for target in sorted(self.outcomes.newly_told(total.outcomes)):
+            seen = total.outcomes[target]
+            log_event(
+                "target_told_failing",
+                target=target,
+                good=round(seen.good, 1),
+                failed=round(seen.failed, 1),
+                vms=total.vms,
+            )
         self.loads.note_fleet(total.calls, own_then.calls, total.vms, now)
         self.outcomes.note_fleet(total.outcomes, own_then.outcomes, now)
--- a/testing/edge/test_outcomes.py
+++ b/testing/edge/test_outcomes.py
@@ -81,6 +81,14 @@
     assert outcomes.sick([T1, T2], Milliseconds(1_900)) == set()
 
 
+def test_failing_target_is_new_only_once():
+    outcomes = RecentOutcomes()
+    told = failing({T1: Seen(0.0, 6.0), T2: Seen(30.0, 2.0)})
+    assert outcomes.newly_told(told) == {T1}
+    outcomes.note_fleet(told, {}, Milliseconds(0))
+    assert outcomes.newly_told(told) == set()
+
+
 def test_word_of_other_vms_is_forgotten():
     outcomes = RecentOutcomes()
     outcomes.note_fleet({T1: Seen(0.0, 1_000.0)}, {}, Milliseconds(0))
