Check in the soak that nothing stays open, and let targets hang

Cause: the soak did not look for leaks, and none of its targets took calls without answering them. Ruled out: memory (seconds of load say nothing of it). Change: once callers are gone, each router may hold what a router at rest needs and no more; a new fault has a target answer nothing.

--- a/src/yuccafold/soak/_process.py
+++ b/src/yuccafold/soak/_process.py
@@ -54,6 +54,11 @@
             raise AssertionError("expected a process that was started")
         return self._process.pid
 
+    @property
+    def open_files(self) -> int:
+        """How many descriptors the running process has open."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
     @property
     def callers(self) -> tuple[str, int]:
         """Where callers connect."""
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -48,6 +48,16 @@
 """How long after the last fault callers must be served again: a start, a view, and
 the pauses of targets that were avoided."""
 
+FILES_AT_REST = 24
+"""Descriptors of a router without callers: listeners, store, log, event loop."""
+
+FILES_FOR_EACH_VM = 4
+"""Descriptors for what two VMs ask each other, in both directions."""
+
+AT_REST_WITHIN_S = 12.0
+"""How long after the last caller left connections to targets may stay open: their
+idle timeout, and what calls that were under way need."""
+
 HEALED_CALLS = 20
 """Answers that must come once all faults have ended."""
 
@@ -96,6 +106,7 @@
         self._keys = [f"key-{n}" for n in range(KEYS)]
         self._extra_route = False
         self._busy: set[str] = set()
+        self._caller_scopes: list[trio.CancelScope] = []
 
     async def run(self) -> SoakReport:
         async with AsyncExitStack() as stack, trio.open_nursery() as nursery:
@@ -105,6 +116,9 @@
             with trio.move_on_after(self._settings.duration_s):
                 await self._inject()
             await self._heal()
+            for scope in self._caller_scopes:
+                scope.cancel()
+            await self._check_rest()
             await self._check_ends()
             nursery.cancel_scope.cancel()
         self._report.checked = self._promises.checked
@@ -129,7 +143,14 @@
                 name = f"{vm.name}-c{number}"
                 rng = random.Random(f"{self._settings.seed} {name}")
                 client = SoakClient(name, vm, self._keys, self._promises, rng)
-                nursery.start_soon(client.run)
+                nursery.start_soon(self._call, client)
+
+    async def _call(self, client: SoakClient) -> None:
+        """Run a caller until all callers leave."""
+        scope = trio.CancelScope()
+        self._caller_scopes.append(scope)
+        with scope:
+            await client.run()
 
     def _configure(self) -> None:
         """Write the next version of the configuration."""
@@ -227,6 +248,7 @@
             FaultKind.TARGET_FULL: Mood.FULL,
             FaultKind.TARGET_FAILING: Mood.FAILING,
             FaultKind.TARGET_BREAKING: Mood.BREAKING,
+            FaultKind.TARGET_HANGING: Mood.HANGING,
         }
         if kind in moods:
             target.mood = moods[kind]
@@ -291,6 +313,18 @@
             return
         self._break("recovery", "all", "not served after the last fault")
 
+    async def _check_rest(self) -> None:
+        """Once callers are gone, no router may keep what it opened for them."""
+        limit = FILES_AT_REST + FILES_FOR_EACH_VM * len(self._vms)
+        with trio.move_on_after(AT_REST_WITHIN_S):
+            while any(vm.open_files > limit for vm in self._vms):
+                await trio.sleep(0.2)
+            return
+        for vm in self._vms:
+            if vm.open_files > limit:
+                seen = f"{vm.open_files} descriptors, at most {limit} expected"
+                self._break("nothing leaks", vm.name, seen)
+
     async def _check_ends(self) -> None:
         """Stop every process; each must end by itself within its grace period."""
         ends: list[Callable[[], Awaitable[Any]]] = [vm.stop for vm in self._vms]
--- a/src/yuccafold/soak/_settings.py
+++ b/src/yuccafold/soak/_settings.py
@@ -28,6 +28,8 @@
     """A target refuses all calls as not run."""
     TARGET_FAILING = "target-failing"
     """A target answers all calls with an error of its own."""
+    TARGET_HANGING = "target-hanging"
+    """A target takes all calls and answers none."""
     TARGET_BREAKING = "target-breaking"
     """A target breaks off its streams."""
     TARGET_LEAVES = "target-leaves"
