Check what VMs leave out by the word of VMs that reach nothing

Cause: one assertion of `test_vms_that_reach_nothing_make_no_target_sick` could not fail: with no sick target no call of the counted VMs is lost. Ruled out: dropping it; what it was meant for is that no sound target is left out. Change: the played fleet also counts targets that are left out; at most 1 in 100 choices may be. Three comments on the pace of reports, and what a report costs on the wire, are brought up to date. Before: the assertion holds whatever the code does.

--- a/src/yuccafold/edge/_outcomes.py
+++ b/src/yuccafold/edge/_outcomes.py
@@ -22,7 +22,7 @@
 two to three seconds for which troubles of targets last."""
 
 TOLD_LIFETIME = Milliseconds(2_000)
-"""How long what all VMs saw counts: it is told every 500 to 750 ms."""
+"""How long what all VMs saw counts: it is told every 450 to 750 ms."""
 
 FORGOTTEN_WEIGHT = 0.1
 """Weight of outcomes below which a target is dropped."""
--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -29,7 +29,7 @@
 
 FLEET_LIFETIME = Milliseconds(2_000)
 """How long what VMs told each other of their calls counts: generations last one to
-four seconds, and they tell every 500 to 750 ms."""
+four seconds, and they tell every 450 to 750 ms."""
 
 BOUND_SLACK = 3.0
 """Calls that a target may hold above the multiple of the mean, by the users' rule."""
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -26,7 +26,7 @@
 from yuccafold.edge._placement import LoadTable
 
 REPORT_LIFETIME = Milliseconds(1_800)
-"""How long what a VM told counts: it tells again every 500 to 750 ms."""
+"""How long what a VM told counts: it tells again every 450 to 750 ms."""
 
 TOTAL_LIFETIME = Milliseconds(100)
 """How long a seed gives out one sum: it takes 2 ms for 85 VMs, who ask 63 times a
--- a/testing/edge/test_outcomes.py
+++ b/testing/edge/test_outcomes.py
@@ -19,7 +19,8 @@
 
 
 def lost_share(vms, sick_share, told, targets=70, calls_a_second=350, cut=0.0):
-    """Return which share of the calls is lost while targets fail all they get.
+    """Return which share of the calls is lost while targets fail all they get, and
+    which share of the choices of a target is left out.
 
     Calls go to any target that is not known as sick. ``cut`` is the share of VMs
     that reach no target at all, and whose calls do not count.
@@ -29,7 +30,7 @@
     sick = set(names[: round(sick_share * targets)])
     fleet = [RecentOutcomes() for _ in range(vms)]
     blind = round(cut * vms)
-    calls = lost = 0
+    calls = lost = left_out = 0
     for now in range(0, TROUBLE_S * 1_000, 1_000 // calls_a_second):
         at = Milliseconds(now)
         if told and now % TELL_EVERY < 1_000 // calls_a_second:
@@ -46,20 +47,21 @@
         if number >= blind:
             calls += 1
             lost += not is_good
-    return lost / calls
+            left_out += len(avoided)
+    return lost / calls, left_out / (calls * targets)
 
 
 @pytest.mark.parametrize("vms", [8, 85])
 def test_calls_are_lost_to_failing_targets_for_a_short_time_only(vms):
-    alone = lost_share(vms, 0.13, told=False)
-    told = lost_share(vms, 0.13, told=True)
+    alone, _ = lost_share(vms, 0.13, told=False)
+    told, _ = lost_share(vms, 0.13, told=True)
     assert alone > 0.1
     assert told < alone / 2
 
 
 def test_vms_that_reach_nothing_make_no_target_sick_for_the_others():
-    # All targets are well: nothing that the other VMs send may be lost or kept back.
-    assert lost_share(20, 0.0, told=True, cut=0.3) == 0
+    _, left_out = lost_share(20, 0.0, told=True, cut=0.3)
+    assert left_out < 0.01
     outcomes = RecentOutcomes()
     table = {TargetId(f"t{n}"): Seen(5.0, 3.0) for n in range(20)}
     outcomes.note_fleet(failing(table), {}, Milliseconds(0))
