--- a/src/yuccafold/router/_state.py
+++ b/src/yuccafold/router/_state.py
@@ -94,7 +94,9 @@
     def call_started(self) -> None:
         """Count a call in."""
         self._calls += 1
-        self._idle = trio.Event()
+        # Who waits already waits on the present event, so only a set one is replaced.
+        if self._idle.is_set():
+            self._idle = trio.Event()
 
     async def wait_until_idle(self) -> None:
         """Return when no call is being handled."""
