Follow changes again after an outage in which a read failed twice

Cause: looking for the same lost wake-up elsewhere: each failed read of the store replaced the event that the task which follows changes waits for. Change: the event is replaced only once it was set, in one place. Before: the new test (an outage of six seconds that cuts the watch, then a change) fails. After: the change is there within 100 ms.

--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -262,8 +262,7 @@
         self._metrics.count("source_failures", source=source.name)
         if source is self._store:
             self._view.note_outage(now)
-            self._fresh = trio.Event()
-            self._doubted.set()
+            self._stop_following()
         if self._choice.failed(source, now):
             log_event(
                 "source_lost",
@@ -276,7 +275,13 @@
         """Have the whole state read again."""
         log_event("platform_history_lost", detail=str(error))
         self._must_list = True
-        self._fresh = trio.Event()
+        self._stop_following()
+
+    def _stop_following(self) -> None:
+        """Have the watch wait until the platform was read again."""
+        # Who waits already waits on the present event, so only a set one is replaced.
+        if self._fresh.is_set():
+            self._fresh = trio.Event()
         self._doubted.set()
 
     def _count(self, source: PlatformSource) -> None:
--- a/testing/edge/test_reader.py
+++ b/testing/edge/test_reader.py
@@ -75,6 +75,10 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def cut_watches(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def read_all(self):
         self.lists += 1
         await self._answer()
@@ -248,6 +252,21 @@
     play(scenario)
 
 
+def test_changes_are_pushed_again_after_an_outage():
+    async def scenario(store, node):
+        store.down = True
+        store.cut_watches()
+        await trio.sleep(6)
+        store.down = False
+        await trio.sleep(1.5)
+        # The confirmation that follows comes in two seconds.
+        store.put("op/config", catalogue(version=7))
+        await trio.sleep(0.1)
+        assert node.view.version == 7
+
+    play(scenario)
+
+
 def test_lost_history_is_read_from_a_list():
     async def scenario(store, node):
         store.lost = 99
