Let stand-ins answer without framing and tear streams inside an event

The stand-ins always sent a length or chunks, so no test could play an answer that ends with its connection. The fault `unframed` does, also together with the faults that close or reset the connection; `TargetMode.TEARING` cuts a stream inside an event.

--- a/src/yuccafold/standins/_faults.py
+++ b/src/yuccafold/standins/_faults.py
@@ -45,6 +45,9 @@
     """Withhold the last bytes of the response and close."""
     end_stream_after_events: int | None = None
     """End a streamed answer cleanly after this many events."""
+    unframed: bool = False
+    """Write the response without a length or chunks; the end of its connection, by a
+    fault too, ends it."""
     overlong: bool = False
     """Write extra bytes after the response's body."""
     malformed: Malformed | None = None
--- a/src/yuccafold/standins/_http.py
+++ b/src/yuccafold/standins/_http.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import re
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -34,6 +35,8 @@
     OSError,
 )
 
+FRAMING_HEADERS = re.compile(rb"(?i)(?:content-length|transfer-encoding): [^\r]*\r\n")
+
 Headers = tuple[tuple[str, str], ...]
 JSON_TYPE = ("Content-Type", "application/json")
 
@@ -109,8 +112,7 @@
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Write the response's head; without ``Content-Length`` the body is chunked."""
-        event = h11.Response(status_code=status, headers=list(headers))
-        await self._wire.send(self._connection.send(event))
+        await self._wire.send(self._encode_head(status, headers))
 
     async def send(self, data: bytes) -> None:
         """Write a part of the body, unless a fault has ended the body."""
@@ -118,11 +120,11 @@
         last = self._wire.faults.end_stream_after_events
         if last is not None and self._part_count > last:
             return
-        await self._wire.send(self._connection.send(h11.Data(data=data)))
+        await self._wire.send(self._encode(h11.Data(data=data)))
 
     async def finish(self) -> None:
         """Write the end of the response."""
-        end = self._connection.send(h11.EndOfMessage())
+        end = self._encode(h11.EndOfMessage())
         if end:
             await self._wire.send(end)
         await self._wire.end_response()
@@ -130,14 +132,26 @@
     async def respond(self, status: int, body: bytes, headers: Headers = ()) -> None:
         """Write a complete response in one write."""
         length = ("Content-Length", str(len(body)))
-        head = h11.Response(status_code=status, headers=[length, *headers])
-        parts = [self._connection.send(head)]
+        parts = [self._encode_head(status, (length, *headers))]
         if body and self._request.method != "HEAD":
-            parts.append(self._connection.send(h11.Data(data=body)))
-        parts.append(self._connection.send(h11.EndOfMessage()))
-        await self._wire.send(b"".join(part for part in parts if part))
+            parts.append(self._encode(h11.Data(data=body)))
+        parts.append(self._encode(h11.EndOfMessage()))
+        await self._wire.send(b"".join(parts))
         await self._wire.end_response()
 
+    def _encode_head(self, status: int, headers: Headers) -> bytes:
+        close = (("Connection", "close"),) if self._wire.faults.unframed else ()
+        head = h11.Response(status_code=status, headers=[*headers, *close])
+        data = self._connection.send(head) or b""
+        return FRAMING_HEADERS.sub(b"", data) if self._wire.faults.unframed else data
+
+    def _encode(self, event: h11.Data | h11.EndOfMessage) -> bytes:
+        """Return the bytes of a part of the body, or of its end."""
+        data = self._connection.send(event) or b""
+        if not self._wire.faults.unframed:
+            return data
+        return bytes(event.data) if isinstance(event, h11.Data) else b""
+
     async def respond_json(
         self, status: int, value: Any, headers: Headers = ()
     ) -> None:
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -37,7 +37,12 @@
     HANGING = "hanging"
     """Runs calls and never answers."""
     BREAKING = "breaking"
-    """Runs calls and closes the connection in the middle of each stream."""
+    """Runs calls and closes the connection between two events of each stream."""
+    TEARING = "tearing"
+    """Runs calls and closes the connection inside an event of each stream."""
+
+
+BREAKING_MODES = (TargetMode.BREAKING, TargetMode.TEARING)
 
 
 @final
@@ -46,7 +51,7 @@
     """The target's id, and the delays and lengths of its answers.
 
     ``work_ms`` is the delay before each answer. ``events_before_break`` is the number
-    of events that a stream gets before ``TargetMode.BREAKING`` closes it. Answers state
+    of whole events that a stream gets before a mode breaks it off. Answers state
     ``idle_timeout_s`` in ``Keep-Alive``, but the target closes no idle connection.
     """
 
@@ -159,9 +164,12 @@
         first = int(exchange.request.header("last-event-id") or 0) + 1
         await exchange.start(200, (*headers, ("Content-Type", "text/event-stream")))
         for number in range(first, self._settings.events + 1):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
             is_at_break = number - first >= self._settings.events_before_break
-            if self.mode is TargetMode.BREAKING and is_at_break:
+            if self.mode in BREAKING_MODES and is_at_break:
+                if self.mode is TargetMode.TEARING:
+                    await exchange.send(event[: len(event) // 2])
                 raise trio.BrokenResourceError("the target breaks off its stream")
-            await exchange.send(f"id: {number}\ndata: token {number}\n\n".encode())
+            await exchange.send(event)
             await trio.sleep(self._settings.event_pause_ms / MS_PER_SECOND)
         await exchange.finish()
--- a/testing/standins/test_http.py
+++ b/testing/standins/test_http.py
@@ -229,3 +229,27 @@
         await stream.send_all(b"no request at all\r\n\r\n")
         assert await read_to_end(stream) == b""
         assert service.runs == ()
+
+
+@on_trio
+async def test_unframed_response_ends_with_its_connection():
+    service = plain_service(Faults(unframed=True))
+    async with serving(service):
+        async with await connect(service.server) as stream:
+            await stream.send_all(message("POST", "/reservations", BODY))
+            head, _, body = (await read_to_end(stream)).partition(b"\r\n\r\n")
+        service.server.set_faults(NO_FAULTS)
+        whole_body = (await book(service)).partition(b"\r\n\r\n")[2]
+    assert b"content-length" not in head.lower()
+    assert b"transfer-encoding" not in head.lower()
+    assert body == whole_body
+
+
+@on_trio
+async def test_unframed_response_is_cut_at_every_byte():
+    service = plain_service(Faults(unframed=True))
+    async with serving(service):
+        whole = await book(service)
+        for end in range(len(whole)):
+            service.server.set_faults(Faults(unframed=True, close_at_response_byte=end))
+            assert await book(service) == whole[:end]
