Log and count how the answers of targets are framed

An answer that broke off and one that was whole left the same lines: `call_ended outcome=answered`.

The router's check for an unframed answer uses the same function. No decision changes.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -260,6 +260,7 @@
         outcome = "answered" if responder.whole else "caller_left"
         if refusal is not None:
             outcome = refusal.code if responder.whole else f"broken_off_{refusal.code}"
+        framing = responder.target_framing
         self._metrics.record_duration("call_ms", elapsed, call.service)
         self._metrics.count("calls", service=call.service, outcome=outcome)
         log_event(
@@ -269,4 +270,6 @@
             status=responder.status,
             took_ms=elapsed,
             reason=None if refusal is None else refusal.reason,
+            framing=None if framing is None else framing.value,
+            body_bytes=responder.body_bytes,
         )
--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -10,6 +10,7 @@
 
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import TargetId
 from yuccafold.edge._attempts import Failure
 from yuccafold.edge._call import Call
 from yuccafold.edge._call import RunRecord
@@ -17,8 +18,10 @@
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._platform_source import CallTranslator
 from yuccafold.http import ConnectionPool
+from yuccafold.http import Framing
 from yuccafold.http import Headers
 from yuccafold.http import HttpStream
+from yuccafold.http import framing_of
 
 CONNECT_TIMEOUT = Milliseconds(300)
 """Connecting within a region takes a few ms. If the first packet is lost, it takes
@@ -89,7 +92,13 @@
         self._request: h11.Request | None = None
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self._idle_time: Milliseconds | None = None
-        self._answered = False
+        self._framing: Framing | None = None
+        self._body_bytes = 0
+
+    @property
+    def target_id(self) -> TargetId:
+        """The target that the call is sent to."""
+        return self._target.id
 
     @property
     def idle_time(self) -> Milliseconds | None:
@@ -99,7 +108,17 @@
     @property
     def answered(self) -> bool:
         """Whether the head of an answer to this call was received."""
-        return self._answered
+        return self._framing is not None
+
+    @property
+    def framing(self) -> Framing | None:
+        """How the answer to this call is framed; ``None`` before its head."""
+        return self._framing
+
+    @property
+    def body_bytes(self) -> int:
+        """How many bytes of the answer's body were received."""
+        return self._body_bytes
 
     async def open(self, max_idle_time: Milliseconds | None) -> None:
         """Reuse a connection idle for at most ``max_idle_time``, or open a new one.
@@ -148,7 +167,7 @@
                 raise AttemptFailedError(Failure.BROKEN, "closed without an answer")
             facts = self._translator.read_answer(tuple(event.headers))
             if facts.call_id in (None, self._call.head.id):
-                self._answered = True
+                self._framing = framing_of(self._call.method, event)
                 break
             await self._skip_foreign_answer()
         if facts.idle_timeout is not None:
@@ -160,6 +179,7 @@
         """Return the next bytes of the answer's body, or ``None`` at its end."""
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._record.mark_complete()
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -101,8 +101,6 @@
                 return None
             except AttemptFailedError as error:
                 failure = error.failure
-                record.end_attempt()
-                self._log_failure(call, placement, failure, str(error), record)
             tried.add(placement.target.record.id)
             unreached += not failure.sent
             if unreached > MAX_UNREACHED_TARGETS or not self._may_try_again(
@@ -159,6 +157,8 @@
             await self._send_and_relay(call, placement, exchange, relay, record)
             outcome = Outcome.GOOD
         except AttemptFailedError as error:
+            record.end_attempt()
+            self._log_failure(call, exchange, error, record)
             outcome = _outcome_of(error.failure)
             if error.failure is Failure.BROKEN and not exchange.answered:
                 self._record_reset(call, exchange.idle_time)
@@ -228,6 +228,10 @@
             self._targets.record_load(target.id, facts.load, self._clock.now())
         if head.status_code >= FIRST_SERVER_ERROR:
             self._metrics.count("target_errors", service=call.service)
+        if exchange.framing is not None:
+            self._metrics.count(
+                "answers", service=call.service, framing=exchange.framing.value
+            )
         await relay.relay_answer(exchange, head)
 
     async def _receive_head(
@@ -275,18 +279,21 @@
     def _log_failure(
         self,
         call: Call,
-        placement: Placement,
-        failure: Failure,
-        detail: str,
+        exchange: Exchange,
+        error: AttemptFailedError,
         record: RunRecord,
     ) -> None:
-        self._metrics.count("attempt_failures", kind=failure.value)
+        failure = error.failure.value
+        framing = exchange.framing
+        self._metrics.count("attempt_failures", kind=failure)
         log_event(
             "attempt_failed",
             call=call.head.id,
-            target=placement.target.record.id,
-            failure=failure.value,
-            detail=detail,
+            target=exchange.target_id,
+            failure=failure,
+            detail=str(error),
+            framing=None if framing is None else framing.value,
+            body_bytes=exchange.body_bytes,
             verdict=record.verdict.value,
             sent=record.sent,
         )
--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -13,6 +13,7 @@
 from yuccafold.edge._model import Repeatability
 from yuccafold.edge._responder import EdgeResponder
 from yuccafold.edge._responder import answer_headers
+from yuccafold.http import Framing
 
 MAX_HELD_ANSWER_BYTES = 262_144
 """Answers up to this size are held until they are complete, so that a call whose answer
@@ -92,7 +93,7 @@
         self._call = call
         self._responder = responder
         self._cursor = EventCursor()
-        self._held_error: tuple[h11.Response, bytes] | None = None
+        self._held_error: tuple[h11.Response, bytes, Framing | None] | None = None
 
     @property
     def started(self) -> bool:
@@ -125,9 +126,9 @@
         """Send the server error of an earlier target; return whether there was one."""
         if self._held_error is None or self.started:
             return False
-        head, body = self._held_error
+        head, body, framing = self._held_error
         headers = answer_headers(tuple(head.headers))
-        await self._responder.answer(head.status_code, headers, body)
+        await self._responder.answer(head.status_code, headers, body, framing)
         return True
 
     async def _hold_error(self, exchange: Exchange, head: h11.Response) -> None:
@@ -135,7 +136,7 @@
         body = b""
         while (data := await exchange.receive()) is not None:
             body += data
-        self._held_error = (head, body)
+        self._held_error = (head, body, exchange.framing)
         raise AttemptFailedError(Failure.ERROR, f"status {head.status_code}")
 
     async def _relay_whole(self, exchange: Exchange, head: h11.Response) -> None:
@@ -147,12 +148,14 @@
                 continue
             held += data
             if len(held) > MAX_HELD_ANSWER_BYTES:
-                self._responder.start(head.status_code, headers)
+                self._responder.start(head.status_code, headers, exchange.framing)
                 await self._responder.send(bytes(held))
         if self.started:
             await self._responder.finish()
         else:
-            await self._responder.answer(head.status_code, headers, bytes(held))
+            await self._responder.answer(
+                head.status_code, headers, bytes(held), exchange.framing
+            )
 
     async def _relay_stream(self, exchange: Exchange, head: h11.Response) -> None:
         """Relay a stream as it arrives, for resumable calls only in whole events."""
@@ -163,11 +166,14 @@
             if not new_data:
                 continue
             if not self.started:
-                headers = answer_headers(tuple(head.headers))
-                self._responder.start(head.status_code, headers)
+                self._start(exchange, head)
             await self._responder.send(new_data)
         if self._cursor.has_partial:
             raise AttemptFailedError(Failure.BROKEN, "ended inside an event")
         if not self.started:
-            self._responder.start(head.status_code, answer_headers(tuple(head.headers)))
+            self._start(exchange, head)
         await self._responder.finish()
+
+    def _start(self, exchange: Exchange, head: h11.Response) -> None:
+        headers = answer_headers(tuple(head.headers))
+        self._responder.start(head.status_code, headers, exchange.framing)
--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -9,6 +9,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._verdict import Refusal
 from yuccafold.http import AnswerWriter
+from yuccafold.http import Framing
 from yuccafold.http import Headers
 from yuccafold.http import HttpStream
 from yuccafold.http import end_to_end
@@ -28,15 +29,30 @@
     def __init__(self, http: HttpStream, is_last: Callable[[], bool]) -> None:
         super().__init__(http)
         self._is_last = is_last
+        self._target_framing: Framing | None = None
 
-    def start(self, status: int, headers: Headers) -> None:
+    @property
+    def target_framing(self) -> Framing | None:
+        """The framing of the target's answer that is relayed; ``None`` without one."""
+        return self._target_framing
+
+    def start(
+        self, status: int, headers: Headers, target_framing: Framing | None = None
+    ) -> None:
         """Set the head; it is sent together with the first bytes of the body."""
+        self._target_framing = target_framing
         self.set_head(status, headers + (CLOSE_HEADERS if self._is_last() else ()))
 
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+    async def answer(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        target_framing: Framing | None = None,
+    ) -> None:
         """Send a whole answer in one write."""
         length = ((b"Content-Length", str(len(body)).encode()),)
-        self.start(status, headers + length)
+        self.start(status, headers + length, target_framing)
         await self.finish_with(body)
 
     async def refuse(self, refusal: Refusal) -> None:
--- a/src/yuccafold/http/__init__.py
+++ b/src/yuccafold/http/__init__.py
@@ -6,6 +6,8 @@
 from yuccafold.http._client import CallFailedError
 from yuccafold.http._client import CallTimeouts
 from yuccafold.http._client import PersistentConnection
+from yuccafold.http._framing import Framing
+from yuccafold.http._framing import framing_of
 from yuccafold.http._head import METHODS
 from yuccafold.http._head import REASONS
 from yuccafold.http._head import CallerGone
@@ -28,6 +30,7 @@
     "CallFailedError",
     "CallTimeouts",
     "CallerGone",
+    "Framing",
     "ConnectionPool",
     "HeadFault",
     "Header",
@@ -39,5 +42,6 @@
     "ServedConnection",
     "end_to_end",
     "first_value",
+    "framing_of",
     "head_fault",
 ]
--- a/src/yuccafold/http/_answer_writer.py
+++ b/src/yuccafold/http/_answer_writer.py
@@ -22,6 +22,7 @@
         self._status = 0
         self._head = b""
         self._whole = False
+        self._body_bytes = 0
 
     @property
     def started(self) -> bool:
@@ -38,6 +39,11 @@
         """Whether the answer was sent completely."""
         return self._whole
 
+    @property
+    def body_bytes(self) -> int:
+        """How many bytes of the body were sent."""
+        return self._body_bytes
+
     def set_head(self, status: int, headers: Headers) -> None:
         """Set the head, which is sent with the first bytes of the body."""
         self._status = status
@@ -49,6 +55,7 @@
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
         await self._flush(self._http.encode(h11.Data(data=data)))
+        self._body_bytes += len(data)
 
     async def finish(self) -> None:
         """Send the end of the body, which completes the answer."""
@@ -58,6 +65,7 @@
         """Send the last part of the body and its end in one write."""
         events = [h11.Data(data=data)] if data else []
         await self._flush(self._http.encode(*events, h11.EndOfMessage()))
+        self._body_bytes += len(data)
         self._whole = True
 
     async def _flush(self, data: bytes) -> None:
--- a/src/yuccafold/router/_upstream.py
+++ b/src/yuccafold/router/_upstream.py
@@ -17,10 +17,12 @@
 from yuccafold._verdict import Verdict
 from yuccafold._verdict import VerdictRecord
 from yuccafold.http import ConnectionPool
+from yuccafold.http import Framing
 from yuccafold.http import Headers
 from yuccafold.http import HttpStream
 from yuccafold.http import end_to_end
 from yuccafold.http import first_value
+from yuccafold.http import framing_of
 from yuccafold.router._body import READ_AHEAD_BYTES
 from yuccafold.router._body import RequestBody
 from yuccafold.router._call import Call
@@ -29,7 +31,6 @@
 
 MAX_TARGET_HEAD_BYTES = 65_536
 CONTINUE = 100
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 class FailureKind(Enum):
@@ -204,10 +205,7 @@
 
     def _check_head(self, head: h11.Response) -> None:
         """Reject an answer whose end can't be detected, or with another call's id."""
-        names = {name for name, _ in head.headers}
-        framed = b"content-length" in names or b"transfer-encoding" in names
-        bodiless = self._call.method == "HEAD" or head.status_code in BODILESS_STATUSES
-        if not framed and not bodiless:
+        if framing_of(self._call.method.encode(), head) is Framing.UNTIL_CLOSE:
             raise self._failure(FailureKind.MALFORMED, "answer without a framed body")
         echoed = first_value(tuple(head.headers), b"yuccafold-call-id")
         if echoed is not None and echoed != self._call.id:
