--- a/testing/edge/loopback_edge.py
+++ b/testing/edge/loopback_edge.py
@@ -4,7 +4,9 @@
 
 import random
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
+import h11
 import trio
 
 from edge.builders import KEY
@@ -71,6 +73,12 @@
         head, _, rest = raw.partition(b"\r\n\r\n")
         return int(head.split()[1]), head.decode(), rest
 
+    async def receive(self, method, path, body=b"", *headers):
+        """Make one call and return its answer as a caller parses it."""
+        stream = await self.send(method, path, body, *headers, "Connection: close")
+        async with stream:
+            return parse_answer(await read_to_end(stream), method)
+
     @property
     def runs(self):
         return [run for target in self.targets for run in target.runs]
@@ -103,3 +111,32 @@
 
 def target(name="t1", **changes):
     return PlatformTarget(PlatformTargetSettings(name, **changes))
+
+
+@dataclass
+class ReceivedAnswer:
+    """An answer as a caller parses it; ``complete`` says whether its end came."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    complete: bool
+
+
+def parse_answer(raw, method="POST"):
+    """Parse the bytes of one answer, which may break off anywhere."""
+    caller = h11.Connection(h11.CLIENT)
+    caller.send(h11.Request(method=method, target="/", headers=[("Host", "caller")]))
+    caller.send(h11.EndOfMessage())
+    caller.receive_data(raw)
+    answer = ReceivedAnswer(0, {}, b"", False)
+    while True:
+        event = caller.next_event()
+        if isinstance(event, h11.Response):
+            answer.status = event.status_code
+            answer.headers = dict(event.headers)
+        elif isinstance(event, h11.Data):
+            answer.body += event.data
+        else:
+            answer.complete = isinstance(event, h11.EndOfMessage)
+            return answer
