Break off streams that end inside an event

Cause: the end of a connection was taken for the end of an answer. An answer with neither a length nor chunks ends with its connection, and the parser reports the end of input as the end of the body, crash or not. Streams that may be resumed are split into events, and an incomplete last one failed their attempt; the bytes of all other streams were passed on unread, and the caller got the last chunk.

The check now stands where every stream ends, for each kind of call and framing: a stream has to end with a blank line, else the attempt failed and the caller's answer is not ended. Data is still passed on as it arrives. Blank lines are recognised with all three line ends of event streams. The check of the cursor's partial event is replaced by one of the boundary at every cut and line end. An answer of another type than text/event-stream has no events to end inside of and is relayed in one piece.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -14,16 +14,39 @@
 from yuccafold.edge._responder import EdgeResponder
 from yuccafold.edge._responder import answer_headers
 from yuccafold.http import Framing
+from yuccafold.http import first_value
 
 MAX_HELD_ANSWER_BYTES = 262_144
 """Answers up to this size are held until they are complete, so that a call whose answer
 breaks off can be retried. Larger ones are relayed as they arrive."""
 
+EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
+EVENT_ENDS = (EVENT_END, b"\n\r\n", b"\r\r")
+"""A blank line ends an event, with any of the three line ends of event streams."""
+
 EVENT_ID = b"id:"
 FIRST_SERVER_ERROR = 500
 
 
+@final
+class EventBoundary:
+    """Tracks whether the data of one answer so far ends inside an event."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and its end was not received."""
+        return bool(self._tail) and not self._tail.endswith(EVENT_ENDS)
+
+    def feed(self, data: bytes) -> None:
+        """Record the next bytes of the answer."""
+        longest_end = max(map(len, EVENT_ENDS))
+        self._tail = (self._tail + data[-longest_end:])[-longest_end:]
+
+
 @final
 class EventCursor:
     """Splits an event stream into whole events and drops those received before.
@@ -41,11 +64,6 @@
         """The id of the last whole event, or ``None`` before the first."""
         return self._last_id
 
-    @property
-    def has_partial(self) -> bool:
-        """Whether the data so far ends inside an event."""
-        return bool(self._partial)
-
     def discard_partial(self) -> None:
         """Drop the incomplete event of an earlier target."""
         self._partial = b""
@@ -117,7 +135,7 @@
         if self.started and not 200 <= head.status_code < 300:
             detail = f"status {head.status_code} for a resumed stream"
             raise AttemptFailedError(Failure.BROKEN, detail)
-        if self._call.admitted.route.streams and head.status_code < 300:
+        if self._is_stream(head):
             await self._relay_stream(exchange, head)
         else:
             await self._relay_whole(exchange, head)
@@ -131,6 +149,22 @@
         await self._responder.answer(head.status_code, headers, body, framing)
         return True
 
+    def _is_stream(self, head: h11.Response) -> bool:
+        """Return whether an answer is a stream of events.
+
+        Raises ``AttemptFailedError`` if it isn't and can't continue one.
+        """
+        content_type = first_value(tuple(head.headers), b"content-type") or EVENT_STREAM
+        is_stream = (
+            self._call.admitted.route.streams
+            and head.status_code < 300
+            and content_type.lower().startswith(EVENT_STREAM)
+        )
+        if self.started and not is_stream:
+            detail = f"{content_type} for a resumed stream"
+            raise AttemptFailedError(Failure.BROKEN, detail)
+        return is_stream
+
     async def _hold_error(self, exchange: Exchange, head: h11.Response) -> None:
         """Hold back a server error, and raise so that another target may be tried."""
         body = b""
@@ -158,17 +192,23 @@
             )
 
     async def _relay_stream(self, exchange: Exchange, head: h11.Response) -> None:
-        """Relay a stream as it arrives, for resumable calls only in whole events."""
+        """Relay a stream as it arrives, for resumable calls only in whole events.
+
+        A stream that ends inside an event was broken off, however it is framed: the end
+        of an unframed one looks the same if its target crashed.
+        """
         resumable = self._call.repeatability is Repeatability.RESUMABLE
+        boundary = EventBoundary()
         self._cursor.discard_partial()
         while (data := await exchange.receive()) is not None:
+            boundary.feed(data)
             new_data = self._cursor.feed(data) if resumable else data
             if not new_data:
                 continue
             if not self.started:
                 self._start(exchange, head)
             await self._responder.send(new_data)
-        if self._cursor.has_partial:
+        if boundary.is_inside_event:
             raise AttemptFailedError(Failure.BROKEN, "ended inside an event")
         if not self.started:
             self._start(exchange, head)
--- a/testing/edge/test_relay.py
+++ b/testing/edge/test_relay.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+from itertools import accumulate
+
 import pytest
 
 from yuccafold.edge._exchange import AttemptFailedError
+from yuccafold.edge._relay import EventBoundary
 from yuccafold.edge._relay import EventCursor
 
 
@@ -15,11 +18,23 @@
     data = event(1) + event(2)
     cut = len(data) - 3
     assert cursor.feed(data[:cut]) == event(1)
-    assert cursor.has_partial
     assert cursor.feed(data[cut:]) == event(2)
     assert cursor.last_id == 2
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("size", [1, 2, 5, 100])
+def test_data_ends_inside_an_event_except_after_a_blank_line(line_end, size):
+    events = [event(number).replace(b"\n", line_end) for number in range(1, 4)]
+    data = b"".join(events)
+    outside = {0, *accumulate(map(len, events))}
+    for cut in range(len(data) + 1):
+        boundary = EventBoundary()
+        for start in range(0, cut, size):
+            boundary.feed(data[start : min(cut, start + size)])
+        assert boundary.is_inside_event == (cut not in outside)
+
+
 @pytest.mark.parametrize("cut", range(len(event(1) + event(2))))
 def test_stream_resumes_wherever_it_was_cut(cut):
     cursor = EventCursor()
