Fail unframed streams that end before their first event

Callers would have got 200 and a complete stream without an event from an engine that crashed between the head of its answer and the first event.

Nothing had been received, so nothing was incomplete; with neither a length nor chunks nothing says that the answer was meant to be empty either.

Such an attempt now counts as broken: it is sent again where that is allowed, else the caller gets 502. A stream that is announced as empty stays one.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -36,6 +36,11 @@
     def __init__(self) -> None:
         self._tail = b""
 
+    @property
+    def is_at_start(self) -> bool:
+        """Whether nothing was received."""
+        return not self._tail
+
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun and its end was not received."""
@@ -210,6 +215,8 @@
             await self._responder.send(new_data)
         if boundary.is_inside_event:
             raise AttemptFailedError(Failure.BROKEN, "ended inside an event")
+        if boundary.is_at_start and exchange.framing is Framing.UNTIL_CLOSE:
+            raise AttemptFailedError(Failure.BROKEN, "ended before its first event")
         if not self.started:
             self._start(exchange, head)
         await self._responder.finish()
