Answer HEAD requests that the router itself answers

Callers that sent HEAD and were refused (no route, unknown key, no target, target full) got a closed connection instead of the refusal, and so did a balancer that asks for the readiness page with HEAD, and operators.

Cause: the writer of answers gave the parser the body of the page, which may not follow the head of an answer to HEAD; the error ended the connection's task. It was found while looking at each place that frames an answer for a caller.

The writer now knows the request's method and leaves out the body of an answer that has none by its method or status. Operators' pages use the same writer.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -122,14 +122,16 @@
         status = error.error_status_hint
         log_event("request_malformed", status=status, error=str(error))
         refusal = Refusal(status, "malformed", str(error), Verdict.NOT_RUN)
-        await EdgeResponder(self._http, lambda: True).refuse(refusal)
+        await EdgeResponder(self._http, b"", lambda: True).refuse(refusal)
 
     async def _serve(self, request: h11.Request) -> bool:
         """Read, admit and forward a call, or refuse it.
 
         Return whether the connection may serve another call.
         """
-        responder = EdgeResponder(self._http, lambda: not self._state.ready)
+        responder = EdgeResponder(
+            self._http, request.method, lambda: not self._state.ready
+        )
         headers: Headers = tuple(request.headers)
         refusal = self._check_head(request, headers)
         if refusal is not None:
--- a/src/yuccafold/edge/_pages.py
+++ b/src/yuccafold/edge/_pages.py
@@ -49,11 +49,11 @@
         event = await http.next_event()
         if not isinstance(event, h11.Request):
             return False
-        target = event.target.decode("latin-1")
+        method, target = event.method, event.target.decode("latin-1")
         while not isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
             event = await http.next_event()
         status, text = self._render_page(target)
-        await EdgeResponder(http, lambda: False).answer(
+        await EdgeResponder(http, method, lambda: False).answer(
             status, TEXT_HEADERS, text.encode()
         )
         if (
--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -26,8 +26,10 @@
     while the call ran.
     """
 
-    def __init__(self, http: HttpStream, is_last: Callable[[], bool]) -> None:
-        super().__init__(http)
+    def __init__(
+        self, http: HttpStream, method: bytes, is_last: Callable[[], bool]
+    ) -> None:
+        super().__init__(http, method)
         self._is_last = is_last
         self._target_framing: Framing | None = None
 
--- a/src/yuccafold/http/_answer_writer.py
+++ b/src/yuccafold/http/_answer_writer.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from yuccafold.http._framing import is_bodiless
 from yuccafold.http._head import REASONS
 from yuccafold.http._head import CallerGone
 from yuccafold.http._stream import Headers
@@ -14,11 +15,15 @@
 class AnswerWriter:
     """The answer of one call on the caller's connection.
 
+    ``method`` is that of the request. An answer that has no body by its method or
+    status is sent without the data that it is given.
     Raises ``CallerGone`` if the connection can no longer be written to.
     """
 
-    def __init__(self, http: HttpStream) -> None:
+    def __init__(self, http: HttpStream, method: bytes) -> None:
         self._http = http
+        self._method = method
+        self._is_bodiless = False
         self._status = 0
         self._head = b""
         self._whole = False
@@ -47,6 +52,7 @@
     def set_head(self, status: int, headers: Headers) -> None:
         """Set the head, which is sent with the first bytes of the body."""
         self._status = status
+        self._is_bodiless = is_bodiless(self._method, status)
         response = h11.Response(
             status_code=status, headers=headers, reason=REASONS.get(status, b"")
         )
@@ -54,8 +60,9 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._flush(self._http.encode(h11.Data(data=data)))
-        self._body_bytes += len(data)
+        if not self._is_bodiless:
+            await self._flush(self._http.encode(h11.Data(data=data)))
+            self._body_bytes += len(data)
 
     async def finish(self) -> None:
         """Send the end of the body, which completes the answer."""
@@ -63,6 +70,8 @@
 
     async def finish_with(self, data: bytes) -> None:
         """Send the last part of the body and its end in one write."""
+        if self._is_bodiless:
+            data = b""
         events = [h11.Data(data=data)] if data else []
         await self._flush(self._http.encode(*events, h11.EndOfMessage()))
         self._body_bytes += len(data)
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -115,7 +115,8 @@
         refusal = bad_request(f"expected an HTTP/1.1 request: {error}")
         if error.error_status_hint == 431:
             refusal = bad_request(f"expected a smaller head: {error}", 431)
-        await Responder(self._http, (), close=True).answer(error_answer(refusal, True))
+        responder = Responder(self._http, b"", (), close=True)
+        await responder.answer(error_answer(refusal, True))
 
     async def _serve(self, request: h11.Request) -> bool:
         call_id = self._ids.next()
@@ -127,7 +128,7 @@
             (REVISION_HEADER, str(revision).encode()),
         )
         closing = not self._state.ready
-        responder = Responder(self._http, base_headers, close=closing)
+        responder = Responder(self._http, request.method, base_headers, close=closing)
         started = self._clock.now()
         idempotent = True
         service = "none"
--- a/src/yuccafold/router/_operator.py
+++ b/src/yuccafold/router/_operator.py
@@ -14,6 +14,8 @@
 import h11
 import trio
 
+from yuccafold.http import AnswerWriter
+from yuccafold.http import CallerGone
 from yuccafold.http import HttpStream
 
 MAX_HEAD_BYTES = 16_384
@@ -54,7 +56,7 @@
         try:
             while await self._serve_one(http):
                 http.protocol.start_next_cycle()
-        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+        except (CallerGone, OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
             return
         finally:
             await http.close()
@@ -65,7 +67,7 @@
             return False
         body = await _read_body(http)
         answer = await self._answer(request, body)
-        await _send(http, answer)
+        await _send(http, request.method, answer)
         return (
             http.protocol.our_state is h11.DONE
             and http.protocol.their_state is h11.DONE
@@ -97,11 +99,12 @@
     return b"".join(parts)
 
 
-async def _send(http: HttpStream, answer: OperatorAnswer) -> None:
+async def _send(http: HttpStream, method: bytes, answer: OperatorAnswer) -> None:
     body = json.dumps(answer.value, indent=1, default=str).encode() + b"\n"
     headers = [
         (b"Content-Type", b"application/json"),
         (b"Content-Length", str(len(body)).encode()),
     ]
-    head = h11.Response(status_code=answer.status, headers=headers)
-    await http.send(head, h11.Data(data=body), h11.EndOfMessage())
+    writer = AnswerWriter(http, method)
+    writer.set_head(answer.status, tuple(headers))
+    await writer.finish_with(body)
--- a/src/yuccafold/router/_responder.py
+++ b/src/yuccafold/router/_responder.py
@@ -24,8 +24,10 @@
     an error. ``close`` adds ``Connection: close``.
     """
 
-    def __init__(self, http: HttpStream, base_headers: Headers, close: bool) -> None:
-        super().__init__(http)
+    def __init__(
+        self, http: HttpStream, method: bytes, base_headers: Headers, close: bool
+    ) -> None:
+        super().__init__(http, method)
         self._base_headers = base_headers
         self._close = close
         self._is_event_stream = False
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -19,6 +19,7 @@
 from yuccafold.standins._platform_forms import attempt_of
 
 MS_PER_SECOND = 1000
+BODILESS_STATUSES = (204, 304)
 SIGNATURE = "X-Response-Signature"
 
 
@@ -53,6 +54,7 @@
     ``work_ms`` is the delay before each answer. ``events_before_break`` is the number
     of whole events that a stream gets before a mode breaks it off. Answers state
     ``idle_timeout_s`` in ``Keep-Alive``, but the target closes no idle connection.
+    ``status`` is that of plain answers; those with 204 and 304 have no body.
     """
 
     id: str
@@ -62,6 +64,7 @@
     event_pause_ms: int = 0
     events_before_break: int = 2
     idle_timeout_s: int = 5
+    status: int = 200
 
 
 @final
@@ -144,8 +147,12 @@
             await exchange.respond(500, b"failed", headers)
         elif exchange.request.path.startswith("/chat/"):
             await self._stream(exchange, headers)
+        elif self._settings.status in BODILESS_STATUSES:
+            await exchange.start(self._settings.status, headers)
+            await exchange.finish()
         else:
-            await exchange.respond(200, exchange.request.body or b"found", headers)
+            body = exchange.request.body or b"found"
+            await exchange.respond(self._settings.status, body, headers)
 
     def _headers(self, attempt: str) -> Headers:
         answered_attempt = (
--- a/testing/router/test_router.py
+++ b/testing/router/test_router.py
@@ -310,3 +310,26 @@
                 nursery.cancel_scope.cancel()
 
     run(test)
+
+
+def test_refused_head_gets_its_answer_without_a_body():
+    async def test():
+        async with fleet(echo) as (_, addresses, _targets):
+            async with caller(addresses.callers) as client:
+                status, _, body, whole = await client.call(
+                    "HEAD", "/desk/search", key=None
+                )
+                assert (status, body, whole) == (401, b"", True)
+
+    run(test)
+
+
+def test_operator_page_answers_head_without_a_body():
+    async def test():
+        async with fleet(echo) as (_, addresses, _targets):
+            async with caller(addresses.operators) as client:
+                for _ in range(2):
+                    status, _, body, whole = await client.call("HEAD", "/ready")
+                    assert (status, body, whole) == (404, b"", True)
+
+    run(test)
