Keep the length that a target states in an answer without a body

Callers of HEAD got 'Content-Length: 0' for a resource that isn't empty, and answers with 204 and 304 a length that the target had not sent; 204 may not have one.

Cause: whole answers got the length of the body that was read, and answers that have no body count as read with none. Found while looking at each place that frames an answer for a caller.

Such answers now keep the target's length, and get none of the router's. The three tests in testing/edge/test_bodiless_answers.py that name a length failed before.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -150,8 +150,7 @@
         if self._held_error is None or self.started:
             return False
         head, body, framing = self._held_error
-        headers = answer_headers(tuple(head.headers))
-        await self._responder.answer(head.status_code, headers, body, framing)
+        await self._send_whole(head, framing, body)
         return True
 
     def _is_stream(self, head: h11.Response) -> bool:
@@ -179,7 +178,6 @@
         raise AttemptFailedError(Failure.ERROR, f"status {head.status_code}")
 
     async def _relay_whole(self, exchange: Exchange, head: h11.Response) -> None:
-        headers = answer_headers(tuple(head.headers))
         held = bytearray()
         while (data := await exchange.receive()) is not None:
             if self.started:
@@ -187,14 +185,23 @@
                 continue
             held += data
             if len(held) > MAX_HELD_ANSWER_BYTES:
-                self._responder.start(head.status_code, headers, exchange.framing)
+                self._start(exchange.framing, head)
                 await self._responder.send(bytes(held))
         if self.started:
             await self._responder.finish()
         else:
-            await self._responder.answer(
-                head.status_code, headers, bytes(held), exchange.framing
-            )
+            await self._send_whole(head, exchange.framing, bytes(held))
+
+    async def _send_whole(
+        self, head: h11.Response, framing: Framing | None, body: bytes
+    ) -> None:
+        """Send a whole answer; one without a body keeps the length that it states."""
+        if framing is Framing.NO_BODY:
+            self._start(framing, head)
+            await self._responder.finish()
+        else:
+            headers = answer_headers(head, framing)
+            await self._responder.answer(head.status_code, headers, body, framing)
 
     async def _relay_stream(self, exchange: Exchange, head: h11.Response) -> None:
         """Relay a stream as it arrives, for resumable calls only in whole events.
@@ -211,16 +218,16 @@
             if not new_data:
                 continue
             if not self.started:
-                self._start(exchange, head)
+                self._start(exchange.framing, head)
             await self._responder.send(new_data)
         if boundary.is_inside_event:
             raise AttemptFailedError(Failure.BROKEN, "ended inside an event")
         if boundary.is_at_start and exchange.framing is Framing.UNTIL_CLOSE:
             raise AttemptFailedError(Failure.BROKEN, "ended before its first event")
         if not self.started:
-            self._start(exchange, head)
+            self._start(exchange.framing, head)
         await self._responder.finish()
 
-    def _start(self, exchange: Exchange, head: h11.Response) -> None:
-        headers = answer_headers(tuple(head.headers))
-        self._responder.start(head.status_code, headers, exchange.framing)
+    def _start(self, framing: Framing | None, head: h11.Response) -> None:
+        headers = answer_headers(head, framing)
+        self._responder.start(head.status_code, headers, framing)
--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import final
 
+import h11
+
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._verdict import Refusal
 from yuccafold.http import AnswerWriter
@@ -14,6 +16,7 @@
 from yuccafold.http import HttpStream
 from yuccafold.http import end_to_end
 
+NO_CONTENT = 204
 CLOSE_HEADERS: Headers = ((b"Connection", b"close"),)
 
 
@@ -67,13 +70,15 @@
         await self.answer(refusal.status, headers, json.dumps(body).encode())
 
 
-def answer_headers(headers: Headers) -> Headers:
+def answer_headers(head: h11.Response, framing: Framing | None) -> Headers:
     """Return the headers of a target's answer that are passed on to the caller.
 
-    Hop-by-hop headers and the content length are left out.
+    Hop-by-hop headers are left out, and so is the length of a body, which is framed
+    anew. An answer without a body keeps it, as it is that of the answer to GET.
     """
+    keeps_length = framing is Framing.NO_BODY and head.status_code != NO_CONTENT
     return tuple(
         (name, value)
-        for name, value in end_to_end(headers)
-        if name != b"content-length"
+        for name, value in end_to_end(tuple(head.headers))
+        if keeps_length or name != b"content-length"
     )
--- a/testing/edge/test_bodiless_answers.py
+++ b/testing/edge/test_bodiless_answers.py
@@ -28,6 +28,30 @@
         return await read_to_end(stream)
 
 
+def test_answer_to_head_keeps_the_length_that_the_target_states():
+    @on_trio
+    async def run():
+        async with running_edge(target()) as edge:
+            answer = await edge.receive("HEAD", "/look/a")
+            assert (answer.status, answer.complete) == (200, True)
+            assert answer.headers[b"content-length"] == b"5"
+
+    run()
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_answer_without_a_body_states_no_length_of_the_router(status):
+    @on_trio
+    async def run():
+        async with running_edge(target(status=status)) as edge:
+            answer = await edge.receive("GET", "/look/a")
+            assert (answer.status, answer.complete) == (status, True)
+            assert b"content-length" not in answer.headers
+            assert b"transfer-encoding" not in answer.headers
+
+    run()
+
+
 @pytest.mark.parametrize("path", ["/nowhere/", "/look/a"], ids=["no-route", "refused"])
 def test_refused_head_gets_its_answer_and_keeps_its_connection(path):
     @on_trio
