Log a stream that broke off as one that may have run, not as complete

On call, attempt_failed said verdict=complete beside 'ended inside an event': the framing had ended, so the verdict was final before the events were checked. Callers saw no difference, as both verdicts end in 502 or a broken-off answer.

The relay now marks an answer as whole once all of its checks have passed. The test test_attempt_with_a_torn_stream_is_not_logged_as_complete failed before for both kinds of streams.

--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -182,10 +182,13 @@
             self._body_bytes += len(event.data)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            self._record.mark_complete()
             return None
         raise AttemptFailedError(Failure.BROKEN, "closed inside its answer")
 
+    def mark_complete(self) -> None:
+        """Record that the answer is whole, which its framing alone may not tell."""
+        self._record.mark_complete()
+
     async def close(self) -> None:
         """Return the connection to the pool if it can be reused, else close it."""
         http, self._http = self._http, None
--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -174,6 +174,7 @@
         body = b""
         while (data := await exchange.receive()) is not None:
             body += data
+        exchange.mark_complete()
         self._held_error = (head, body, exchange.framing)
         raise AttemptFailedError(Failure.ERROR, f"status {head.status_code}")
 
@@ -187,6 +188,7 @@
             if len(held) > MAX_HELD_ANSWER_BYTES:
                 self._start(exchange.framing, head)
                 await self._responder.send(bytes(held))
+        exchange.mark_complete()
         if self.started:
             await self._responder.finish()
         else:
@@ -224,6 +226,7 @@
             raise AttemptFailedError(Failure.BROKEN, "ended inside an event")
         if boundary.is_at_start and exchange.framing is Framing.UNTIL_CLOSE:
             raise AttemptFailedError(Failure.BROKEN, "ended before its first event")
+        exchange.mark_complete()
         if not self.started:
             self._start(exchange.framing, head)
         await self._responder.finish()
--- a/testing/edge/test_answer_logs.py
+++ b/testing/edge/test_answer_logs.py
@@ -8,6 +8,7 @@
 from support.loopback import on_trio
 from yuccafold.standins import NO_FAULTS
 from yuccafold.standins import Faults
+from yuccafold.standins import TargetMode
 
 STREAM_BYTES = 4 * len(b"id: 1\ndata: token 1\n\n")
 
@@ -66,3 +67,22 @@
 
     run()
     assert {fields["framing"] for fields in log.fields("attempt_failed")} == {None}
+
+
+@pytest.mark.parametrize("path", ["/chat/a", "/chat/once/a"], ids=["resumable", "once"])
+def test_attempt_with_a_torn_stream_is_not_logged_as_complete(path, monkeypatch):
+    log = LogCapture(monkeypatch)
+
+    @on_trio
+    async def run():
+        async with running_edge(target()) as edge:
+            edge.targets[0].server.set_faults(Faults(unframed=True))
+            edge.targets[0].mode = TargetMode.TEARING
+            await edge.call("POST", path, b"question")
+
+    run()
+    (failed,) = log.fields("attempt_failed")
+    assert failed["detail"] == "ended inside an event"
+    assert (failed["framing"], failed["verdict"]) == ("until-close", "may-have-run")
+    (ended,) = log.fields("call_ended")
+    assert ended["outcome"] == "broken_off_target_failed"
