Refuse settings that may have been cut off

A VM would have taken the first part of a settings tree for the whole: with neither a length nor chunks the end of the connection ends the answer, also if the service crashed, and a tree that lacks its last accounts or services is often a valid one. Nobody has reported it.

The other answers that these readers get are JSON objects, of which no part is valid.

Such an answer now counts as a failed read, with its reason in last_fault. test_settings_that_may_have_been_cut_off_are_not_delivered failed before.

--- a/src/yuccafold/readers/_http.py
+++ b/src/yuccafold/readers/_http.py
@@ -13,6 +13,8 @@
 from result import Result
 
 from yuccafold._clock import MS_PER_SECOND
+from yuccafold.http import Framing
+from yuccafold.http import framing_of
 
 READ_BYTES = 65_536
 CONNECTION_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
@@ -46,11 +48,15 @@
 @final
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A complete answer; header names are in lower case."""
+    """A complete answer; header names are in lower case.
+
+    With ``Framing.UNTIL_CLOSE`` the body may lack its end: the server may have crashed.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    framing: Framing
 
 
 @final
@@ -101,7 +107,7 @@
     connection = h11.Connection(h11.CLIENT)
     try:
         await stream.send_all(_head_and_body(connection, request))
-        return await _response(stream, connection, limits)
+        return await _response(stream, request, connection, limits)
     except h11.ProtocolError as error:
         return Err(HttpFault(f"malformed answer of {request.address}: {error}"))
     except CONNECTION_ERRORS as error:
@@ -122,7 +128,10 @@
 
 
 async def _response(
-    stream: trio.SocketStream, connection: h11.Connection, limits: HttpLimits
+    stream: trio.SocketStream,
+    request: HttpRequest,
+    connection: h11.Connection,
+    limits: HttpLimits,
 ) -> Result[HttpResponse, HttpFault]:
     head: h11.Response | None = None
     body = bytearray()
@@ -139,6 +148,7 @@
                 return Err(HttpFault(reason))
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             headers = {name.decode(): value.decode() for name, value in head.headers}
-            return Ok(HttpResponse(head.status_code, headers, bytes(body)))
+            framing = framing_of(request.method.encode(), head)
+            return Ok(HttpResponse(head.status_code, headers, bytes(body), framing))
         elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
             return Err(HttpFault("connection closed before the answer"))
--- a/src/yuccafold/readers/_readers.py
+++ b/src/yuccafold/readers/_readers.py
@@ -13,6 +13,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold.fleet import VmListSnapshot
 from yuccafold.fleet import parse_vm_list
+from yuccafold.http import Framing
 from yuccafold.readers._http import HttpFault
 from yuccafold.readers._http import HttpLimits
 from yuccafold.readers._http import HttpRequest
@@ -85,6 +86,9 @@
 
     def _handle_response(self, response: HttpResponse) -> HttpFault | None:
         if response.status == OK:
+            # A part of a settings tree can be a valid tree with less in it.
+            if response.framing is Framing.UNTIL_CLOSE:
+                return HttpFault("expected Content-Length or chunks, got neither")
             number = response.headers.get("revision", "")
             if not (number.isascii() and number.isdigit()):
                 return HttpFault(f"expected a Revision header, got {number!r:.40}")
--- a/testing/readers/test_readers.py
+++ b/testing/readers/test_readers.py
@@ -113,3 +113,13 @@
     )
     assert versions == [4, 5]
     assert platform.targets[1].startswith("/vms?after=4&")
+
+
+def test_settings_that_may_have_been_cut_off_are_not_delivered():
+    unframed = b"HTTP/1.1 200 OK\r\nRevision: 5\r\n\r\naccounts:\n  a: {}\n"
+    platform = FakePlatform(unframed, ok(b"text", 5))
+    texts, answers = [], []
+    reader = run_reader(platform, settings_reader(texts, answers))
+    assert texts == ["text"]
+    assert reader.counts.failed == 1
+    assert "neither" in reader.counts.last_fault
