Resume streams whose lines end with CR LF or CR

Callers of a stream that may be resumed would have got 502 from a target that ends its lines with CR LF: the cursor looked for two LF only, so the whole stream was one incomplete event.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from itertools import pairwise
 from typing import final
 
 import h11
@@ -21,10 +23,12 @@
 breaks off can be retried. Larger ones are relayed as they arrive."""
 
 EVENT_STREAM = "text/event-stream"
-EVENT_END = b"\n\n"
-EVENT_ENDS = (EVENT_END, b"\n\r\n", b"\r\r")
+EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 """A blank line ends an event, with any of the three line ends of event streams."""
 
+EVENT_END = re.compile(b"|".join(EVENT_ENDS))
+LINE_ENDS = re.compile(rb"[\r\n]")
+
 EVENT_ID = b"id:"
 FIRST_SERVER_ERROR = 500
 
@@ -75,8 +79,11 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that ``data`` completes and that are new."""
-        *events, self._partial = (self._partial + data).split(EVENT_END)
-        return b"".join(event + EVENT_END for event in events if self._accept(event))
+        data = self._partial + data
+        ends = [0, *(match.end() for match in EVENT_END.finditer(data))]
+        self._partial = data[ends[-1] :]
+        events = (data[start:end] for start, end in pairwise(ends))
+        return b"".join(event for event in events if self._accept(event))
 
     def _accept(self, event: bytes) -> bool:
         """Return whether ``event`` is new, and record its id.
@@ -97,7 +104,7 @@
 
 
 def _event_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
+    for line in LINE_ENDS.split(event):
         if line.startswith(EVENT_ID):
             text = line[len(EVENT_ID) :].strip()
             return int(text) if text.isdigit() else None
--- a/testing/edge/test_relay.py
+++ b/testing/edge/test_relay.py
@@ -60,6 +60,17 @@
         cursor.feed(event(3))
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("cut", range(len(event(1) + event(2))))
+def test_stream_resumes_with_any_line_end(line_end, cut):
+    events = [event(number).replace(b"\n", line_end) for number in range(1, 4)]
+    cursor = EventCursor()
+    out = cursor.feed(b"".join(events)[:cut])
+    cursor.discard_partial()
+    out += cursor.feed(b"".join(events[cursor.last_id or 0 :]))
+    assert out == b"".join(events)
+
+
 def test_event_id_after_another_field_is_found():
     cursor = EventCursor()
     data = b"x-weight-versions: 7\nid: 1\ndata: token\n\n"
