Test that a list of the store is read whole or not at all

A list cut at any byte, with or without framing, is no list: its JSON object has no valid part. Passes on the current code; it guards the reader that trusts the end of an unframed answer because of that.

--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -243,3 +243,29 @@
     async with store_with(config=config) as (_, source):
         (route,) = catalogue_of(await source.read_all()).routes
         assert route.services == (("desk", 90), ("next", 10))
+
+
+@pytest.mark.parametrize("unframed", [True, False], ids=["unframed", "framed"])
+def test_list_cut_at_any_byte_is_no_list(unframed):
+    @on_trio
+    async def run():
+        config = wire_config(wire_route("/look/", "safe"))
+        async with store_with("t1", config=config) as (store, source):
+            whole = await source.read_all()
+            # Faults take effect from the first byte of a new connection on.
+            await source.close()
+            cuts = 0
+            while True:
+                cuts += 1
+                store.server.set_faults(
+                    Faults(unframed=unframed, close_at_response_byte=cuts)
+                )
+                try:
+                    state = await source.read_all()
+                except PlatformUnavailableError:
+                    continue
+                assert state == whole
+                break
+            assert cuts > 100
+
+    run()
