--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -9,7 +9,9 @@
 import h11
 import trio
 
+from yuccafold.http import Framing
 from yuccafold.http import HttpStream
+from yuccafold.http import framing_of
 from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import PromiseChecker
 from yuccafold.standins import call_headers
@@ -86,6 +88,7 @@
             ],
         )
         status, answer, is_complete = 0, b"", False
+        framing = Framing.LENGTH
         try:
             with trio.move_on_after(CALL_TIMEOUT_S):
                 await http.send(request, h11.Data(data=body), h11.EndOfMessage())
@@ -93,6 +96,7 @@
                     event = await http.next_event()
                     if isinstance(event, h11.Response):
                         status = event.status_code
+                        framing = framing_of(request.method, event)
                     elif isinstance(event, h11.Data):
                         answer += event.data
                     elif isinstance(event, h11.EndOfMessage):
@@ -102,6 +106,8 @@
         except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
             is_complete = False
         fault = _answer_fault(path, body, status, answer) if is_complete else None
+        if framing is Framing.UNTIL_CLOSE:
+            fault = "expected a length or chunks, got neither"
         self._promises.record_answer(attempt, status if is_complete else 0, fault)
         state = http.protocol
         return (
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -260,6 +260,7 @@
             FaultKind.TARGET_FULL: TargetMode.FULL,
             FaultKind.TARGET_FAILING: TargetMode.FAILING,
             FaultKind.TARGET_BREAKING: TargetMode.BREAKING,
+            FaultKind.TARGET_TEARING: TargetMode.TEARING_UNFRAMED,
             FaultKind.TARGET_HANGING: TargetMode.HANGING,
         }
         if kind in modes:
--- a/src/yuccafold/soak/_settings.py
+++ b/src/yuccafold/soak/_settings.py
@@ -31,7 +31,10 @@
     TARGET_HANGING = "target-hanging"
     """A target runs all calls and answers none."""
     TARGET_BREAKING = "target-breaking"
-    """A target closes connections in the middle of its streams."""
+    """A target closes connections between two events of its streams."""
+    TARGET_TEARING = "target-tearing"
+    """A target sends streams without framing, and closes connections inside an event
+    of them."""
     TARGET_LEAVES = "target-leaves"
     """A target drains; another one replaces it."""
     VM_PAUSED = "vm-paused"
--- a/src/yuccafold/standins/_http.py
+++ b/src/yuccafold/standins/_http.py
@@ -104,14 +104,21 @@
         self._connection = connection
         self._wire = wire
         self._part_count = 0
+        self._is_unframed = wire.faults.unframed
 
     @property
     def request(self) -> ServedRequest:
         """The request."""
         return self._request
 
-    async def start(self, status: int, headers: Headers = ()) -> None:
-        """Write the response's head; without ``Content-Length`` the body is chunked."""
+    async def start(
+        self, status: int, headers: Headers = (), *, unframed: bool = False
+    ) -> None:
+        """Write the response's head; without ``Content-Length`` the body is chunked.
+
+        An ``unframed`` body has neither, as with the fault of that name.
+        """
+        self._is_unframed = self._is_unframed or unframed
         await self._wire.send(self._encode_head(status, headers))
 
     async def send(self, data: bytes) -> None:
@@ -140,15 +147,15 @@
         await self._wire.end_response()
 
     def _encode_head(self, status: int, headers: Headers) -> bytes:
-        close = (("Connection", "close"),) if self._wire.faults.unframed else ()
+        close = (("Connection", "close"),) if self._is_unframed else ()
         head = h11.Response(status_code=status, headers=[*headers, *close])
         data = self._connection.send(head) or b""
-        return FRAMING_HEADERS.sub(b"", data) if self._wire.faults.unframed else data
+        return FRAMING_HEADERS.sub(b"", data) if self._is_unframed else data
 
     def _encode(self, event: h11.Data | h11.EndOfMessage) -> bytes:
         """Return the bytes of a part of the body, or of its end."""
         data = self._connection.send(event) or b""
-        if not self._wire.faults.unframed:
+        if not self._is_unframed:
             return data
         return bytes(event.data) if isinstance(event, h11.Data) else b""
 
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -41,9 +41,13 @@
     """Runs calls and closes the connection between two events of each stream."""
     TEARING = "tearing"
     """Runs calls and closes the connection inside an event of each stream."""
+    TEARING_UNFRAMED = "tearing-unframed"
+    """The same with streams that have neither a length nor chunks."""
 
 
-BREAKING_MODES = (TargetMode.BREAKING, TargetMode.TEARING)
+TEARING_MODES = (TargetMode.TEARING, TargetMode.TEARING_UNFRAMED)
+TORN_BYTES = 5
+"""How many bytes of its last event a torn stream lacks."""
 
 
 @final
@@ -169,14 +173,25 @@
     async def _stream(self, exchange: Exchange, headers: Headers) -> None:
         """Send the events after the last one that the caller has received."""
         first = int(exchange.request.header("last-event-id") or 0) + 1
-        await exchange.start(200, (*headers, ("Content-Type", "text/event-stream")))
+        unframed = self.mode is TargetMode.TEARING_UNFRAMED
+        headers += (("Content-Type", "text/event-stream"),)
+        await exchange.start(200, headers, unframed=unframed)
+        if self.mode in TEARING_MODES:
+            last = min(
+                first + self._settings.events_before_break, self._settings.events
+            )
+            # One write: a connection that is cut between two events is not torn.
+            events = b"".join(map(_event, range(first, last + 1)))
+            await exchange.send(events[:-TORN_BYTES])
+            raise trio.BrokenResourceError("the target tears its stream")
         for number in range(first, self._settings.events + 1):
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
             is_at_break = number - first >= self._settings.events_before_break
-            if self.mode in BREAKING_MODES and is_at_break:
-                if self.mode is TargetMode.TEARING:
-                    await exchange.send(event[: len(event) // 2])
+            if self.mode is TargetMode.BREAKING and is_at_break:
                 raise trio.BrokenResourceError("the target breaks off its stream")
-            await exchange.send(event)
+            await exchange.send(_event(number))
             await trio.sleep(self._settings.event_pause_ms / MS_PER_SECOND)
         await exchange.finish()
+
+
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: token {number}\n\n".encode()
--- a/testing/edge/test_answer_ends.py
+++ b/testing/edge/test_answer_ends.py
@@ -114,9 +114,9 @@
 @on_trio
 async def test_unframed_stream_torn_inside_an_event_resumes_at_another_target():
     async with running_edge(target("t1"), target("t2")) as edge:
-        for each in edge.targets:
-            each.server.set_faults(Faults(unframed=True, exchanges=1))
-            each.mode = TargetMode.TEARING
-        answer = await edge.receive("POST", "/chat/a", b"question")
-        assert len(edge.runs) == 2
-        assert answer.body == STARTS[-1]
+        torn, whole = edge.targets
+        torn.mode = TargetMode.TEARING_UNFRAMED
+        for _ in range(6):
+            answer = await edge.receive("POST", "/chat/a", b"question")
+            assert (answer.complete, answer.body) == (True, STARTS[-1])
+        assert set(torn.runs) & set(whole.runs)
