--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -26,10 +26,12 @@
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 """A blank line ends an event, with any of the three line ends of event streams."""
 
+LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
 EVENT_END = re.compile(b"|".join(EVENT_ENDS))
 LINE_ENDS = re.compile(rb"[\r\n]")
 
 EVENT_ID = b"id:"
+FIRST_REDIRECT = 300
 FIRST_SERVER_ERROR = 500
 
 
@@ -52,8 +54,8 @@
 
     def feed(self, data: bytes) -> None:
         """Record the next bytes of the answer."""
-        longest_end = max(map(len, EVENT_ENDS))
-        self._tail = (self._tail + data[-longest_end:])[-longest_end:]
+        tail = self._tail + data[-LONGEST_EVENT_END:]
+        self._tail = tail[-LONGEST_EVENT_END:]
 
 
 @final
@@ -144,10 +146,11 @@
         """
         if head.status_code >= FIRST_SERVER_ERROR:
             await self._hold_error(exchange, head)
-        if self.started and not 200 <= head.status_code < 300:
-            detail = f"status {head.status_code} for a resumed stream"
+        is_stream = self._is_stream(head)
+        if self.started and not is_stream:
+            detail = f"status {head.status_code} without events for a resumed stream"
             raise AttemptFailedError(Failure.BROKEN, detail)
-        if self._is_stream(head):
+        if is_stream:
             await self._relay_stream(exchange, head)
         else:
             await self._relay_whole(exchange, head)
@@ -161,20 +164,13 @@
         return True
 
     def _is_stream(self, head: h11.Response) -> bool:
-        """Return whether an answer is a stream of events.
-
-        Raises ``AttemptFailedError`` if it isn't and can't continue one.
-        """
+        """Return whether an answer is a stream of events."""
         content_type = first_value(tuple(head.headers), b"content-type") or EVENT_STREAM
-        is_stream = (
+        return (
             self._call.admitted.route.streams
-            and head.status_code < 300
+            and head.status_code < FIRST_REDIRECT
             and content_type.lower().startswith(EVENT_STREAM)
         )
-        if self.started and not is_stream:
-            detail = f"{content_type} for a resumed stream"
-            raise AttemptFailedError(Failure.BROKEN, detail)
-        return is_stream
 
     async def _hold_error(self, exchange: Exchange, head: h11.Response) -> None:
         """Hold back a server error, and raise so that another target may be tried."""
--- a/src/yuccafold/http/_answer_writer.py
+++ b/src/yuccafold/http/_answer_writer.py
@@ -15,8 +15,8 @@
 class AnswerWriter:
     """The answer of one call on the caller's connection.
 
-    ``method`` is that of the request. An answer that has no body by its method or
-    status is sent without the data that it is given.
+    ``method`` is that of the request, empty if it could not be read. An answer that
+    has no body by its method or status is sent without the data that it is given.
     Raises ``CallerGone`` if the connection can no longer be written to.
     """
 
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -58,7 +58,8 @@
     ``work_ms`` is the delay before each answer. ``events_before_break`` is the number
     of whole events that a stream gets before a mode breaks it off. Answers state
     ``idle_timeout_s`` in ``Keep-Alive``, but the target closes no idle connection.
-    ``status`` is that of plain answers; those with 204 and 304 have no body.
+    ``status`` and ``content_type`` are those of plain answers; those with 204 and 304
+    have no body.
     """
 
     id: str
@@ -69,6 +70,7 @@
     events_before_break: int = 2
     idle_timeout_s: int = 5
     status: int = 200
+    content_type: str = "text/plain"
 
 
 @final
@@ -156,6 +158,7 @@
             await exchange.finish()
         else:
             body = exchange.request.body or b"found"
+            headers += (("Content-Type", self._settings.content_type),)
             await exchange.respond(self._settings.status, body, headers)
 
     def _headers(self, attempt: str) -> Headers:
--- a/testing/edge/loopback_edge.py
+++ b/testing/edge/loopback_edge.py
@@ -33,6 +33,8 @@
     wire_route("/book/", "unsafe", max_attempts=1),
     wire_route("/chat/", "streaming", resumable=True),
     wire_route("/chat/once/", "streaming", resumable=False),
+    wire_route("/tag/", "streaming", resumable=True),
+    wire_route("/tag/once/", "streaming", resumable=False),
     wire_route("/short/", "unsafe", timeout_ms=150),
 )
 
--- a/testing/edge/test_answer_ends.py
+++ b/testing/edge/test_answer_ends.py
@@ -120,3 +120,20 @@
             answer = await edge.receive("POST", "/chat/a", b"question")
             assert (answer.complete, answer.body) == (True, STARTS[-1])
         assert set(torn.runs) & set(whole.runs)
+
+
+@pytest.mark.parametrize("path", ["/tag/a", "/tag/once/a"], ids=["resumable", "once"])
+@pytest.mark.parametrize(
+    ("content_type", "complete"),
+    [("application/json", True), ("text/event-stream; charset=utf-8", False)],
+)
+def test_only_answers_of_the_type_of_streams_have_to_end_an_event(
+    path, content_type, complete
+):
+    @on_trio
+    async def run():
+        async with running_edge(target(content_type=content_type)) as edge:
+            answer = await edge.receive("POST", path, b"{}")
+            assert (answer.complete and answer.status == 200) is complete
+
+    run()
