Test the other answers that end with their connection

An unframed answer to an earlier call, the connection of an unframed answer, and a large answer that is relayed while it arrives and is reset.

--- a/testing/edge/test_answer_ends.py
+++ b/testing/edge/test_answer_ends.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
+import json
 from itertools import count
 
 import pytest
+import trio
 
+from edge.builders import wire_config
+from edge.builders import wire_route
 from edge.loopback_edge import running_edge
 from edge.loopback_edge import target
 from support.loopback import on_trio
+from yuccafold.edge._relay import MAX_HELD_ANSWER_BYTES
 from yuccafold.standins import Faults
 from yuccafold.standins import TargetMode
 
@@ -137,3 +142,47 @@
             assert (answer.complete and answer.status == 200) is complete
 
     run()
+
+
+@on_trio
+async def test_unframed_answer_to_another_call_is_not_relayed():
+    async with running_edge(target()) as edge:
+        edge.targets[0].server.set_faults(Faults(unframed=True))
+        edge.targets[0].mode = TargetMode.WRONG_ATTEMPT
+        answer = await edge.receive("POST", "/book/a", b"question")
+        assert answer.status == 502
+        assert len(edge.runs) == 1
+
+
+@on_trio
+async def test_connection_of_an_unframed_answer_is_not_used_again():
+    async with running_edge(target()) as edge:
+        edge.targets[0].server.set_faults(Faults(unframed=True))
+        for _ in range(3):
+            answer = await edge.receive("GET", "/look/a")
+            assert (answer.status, answer.body) == (200, b"found")
+        assert edge.targets[0].server.connections == 3
+
+
+@pytest.mark.parametrize("unframed", UNFRAMED)
+def test_large_answer_reset_on_the_way_does_not_look_complete(unframed):
+    body = b"x" * (MAX_HELD_ANSWER_BYTES + 1_000)
+    route = wire_route("/book/", "unsafe", max_attempts=1)
+
+    @on_trio
+    async def run():
+        async with running_edge(target(), routes=(route,)) as edge:
+            config = json.loads(wire_config(route, version=2))
+            limits = config["limits"] | {"max_body_bytes": 2 * len(body)}
+            config = json.dumps(config | {"limits": limits}).encode()
+            edge.store.put("op/config", config)
+            while (await edge.receive("POST", "/book/a", body)).status != 200:
+                await trio.sleep(0.01)
+            faults = Faults(
+                unframed=unframed, close_at_response_byte=len(body) - 500, reset=True
+            )
+            edge.targets[0].server.set_faults(faults)
+            answer = await edge.receive("POST", "/book/b", body)
+            assert not answer.complete or answer.status == 502
+
+    run()
