Keep the sending of late answers within the margin of a stop

A caller that does not read could have held a stopping process for a second, past the end of its grace period. 250 ms are less than the margin with which it exits.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -25,9 +25,10 @@
 """Answers up to this size are held until they are complete, so that a call whose answer
 breaks off can be retried. Larger ones are relayed as they arrive."""
 
-FINISH_TIMEOUT = Milliseconds(1_000)
+FINISH_TIMEOUT = Milliseconds(250)
 """How long sending the rest of a whole answer may take, instead of the deadline of the
-call: 256 KiB take 0.4 s on the slowest links, of 5 Mbit/s."""
+call. A stopping process has to exit within ``EXIT_MARGIN`` all the same; a caller that
+reads takes a few ms."""
 
 EVENT_STREAM = "text/event-stream"
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
