--- a/src/yuccafold/soak/_process.py
+++ b/src/yuccafold/soak/_process.py
@@ -22,11 +22,15 @@
 """How much longer than its grace period a process may take to exit."""
 
 
-def free_port() -> int:
-    """Return a port on which no process listens at present."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+def reserve_port() -> socket.socket:
+    """Return a socket bound to a free port, which no other socket gets as a free one.
+
+    A process can listen on the port all the same, as both allow to reuse the address.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    return reservation
 
 
 @final
@@ -37,7 +41,13 @@
         self._name = f"vm-{number}"
         self._settings = settings
         self._folder = folder
-        self._ports = {role: free_port() for role in ("front", "readiness", "control")}
+        self._reservations = {
+            role: reserve_port() for role in ("front", "readiness", "control")
+        }
+        self._ports = {
+            role: int(reservation.getsockname()[1])
+            for role, reservation in self._reservations.items()
+        }
         self._process: subprocess.Popen[bytes] | None = None
         self._log: IO[bytes] | None = None
         self.relay: Relay | None = None
@@ -148,6 +158,8 @@
     def close(self) -> None:
         """Kill the process and close its log."""
         self.kill()
+        for reservation in self._reservations.values():
+            reservation.close()
         if self._log is not None:
             self._log.close()
             self._log = None
