Survive SIGHUP while the program is imported

SIGHUP within the third of a second of a start does that (three of three tries by hand): nothing handles the signal yet. On the platform it says that the settings file has changed, which may be right after a start.

--- a/src/yuccafold/_early.py
+++ b/src/yuccafold/_early.py
@@ -1,13 +1,13 @@
-"""Listening sockets that are opened before the program is imported.
+"""What is done before the program is imported, which takes a third of a second.
 
-Importing the program takes a third of a second. Callers that connect meanwhile
-wait in the kernel's backlog instead of being refused. Nothing but ``os`` and
-``socket`` is imported here.
+Callers that connect meanwhile wait in the kernel's backlog instead of being refused.
+Nothing but ``os``, ``signal`` and ``socket`` is imported here.
 """
 
 from __future__ import annotations
 
 import os
+import signal
 import socket
 
 LISTEN_VARIABLE = "YUCCAFOLD_LISTEN"
@@ -19,6 +19,14 @@
 _sockets: dict[str, socket.socket] = {}
 
 
+def ignore_reload_signals() -> None:
+    """Ignore SIGHUP until the program handles it; by default it ends the process.
+
+    The settings are read later, so nothing is missed.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def listen_early() -> None:
     """Listen on the addresses in ``YUCCAFOLD_LISTEN``.
 
--- a/testing/test_early.py
+++ b/testing/test_early.py
@@ -1,6 +1,11 @@
 from __future__ import annotations
 
+import os
+import signal
 import socket
+import subprocess
+import sys
+import time
 
 import pytest
 import trio
@@ -50,3 +55,24 @@
     monkeypatch.setenv(LISTEN_VARIABLE, value)
     listen_early()
     assert take_early_listener(value) is None
+
+
+def test_reload_signal_during_the_import_does_not_end_the_process():
+    address = free_address()
+    host, port = address.split(":")
+    environment = os.environ | {LISTEN_VARIABLE: address}
+    environment.pop("YUCCAFOLD_SETTINGS", None)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "yuccafold", "standin", "nonsense"],
+        env=environment,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    while True:
+        try:
+            socket.create_connection((host, int(port))).close()
+            break
+        except ConnectionRefusedError:
+            time.sleep(0.001)
+    process.send_signal(signal.SIGHUP)
+    assert process.wait() == 2
