--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -128,6 +128,7 @@
             await self._check_recovery()
             for scope in self._client_scopes:
                 scope.cancel()
+            self._check_running()
             await self._check_descriptors()
             await self._check_exits()
             nursery.cancel_scope.cancel()
@@ -330,6 +331,12 @@
             return
         self._add_violation("recovery", "all", "not served after the last fault")
 
+    def _check_running(self) -> None:
+        """Check that no process has ended by itself, and leave out those that have."""
+        for vm in [vm for vm in self._vms if vm.has_exited()]:
+            self._add_violation("keeps running", vm.name, "ended by itself")
+            self._vms.remove(vm)
+
     async def _check_descriptors(self) -> None:
         """Check that routers close what they opened for clients that have left."""
         limit = IDLE_DESCRIPTORS + DESCRIPTORS_PER_VM * len(self._vms)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 from yuccafold.soak import SoakSettings
 from yuccafold.soak import run_soak
+from yuccafold.soak._process import EdgeProcess
 
 CI_SEED = 100
 """A seed whose faults stop, kill and reload VMs and disconnect store and targets."""
@@ -30,3 +31,16 @@
     report = trio.run(run_soak, settings, tmp_path)
     assert [found.promise for found in report.violations] == ["nothing leaks"]
     assert report.violations[0].subject == "vm-0"
+
+
+def test_process_that_ended_by_itself_is_detected(tmp_path, monkeypatch):
+    def has_exited(vm):
+        return vm.name == "vm-0" or exited(vm)
+
+    exited = EdgeProcess.has_exited
+    monkeypatch.setattr(EdgeProcess, "has_exited", has_exited)
+    settings = SoakSettings(seed=1, duration_s=0.5, vms=2, clients_per_vm=1)
+    report = trio.run(run_soak, settings, tmp_path)
+    assert [(found.promise, found.subject) for found in report.violations] == [
+        ("keeps running", "vm-0")
+    ]
