List a call of the fleet router that ends without an answer as known red

A target that sends the head of an answer and nothing more: at the deadline the caller gets a closed connection instead of 504. Package router only; the edge router holds plain answers until they are whole.

--- a/testing/router/test_router.py
+++ b/testing/router/test_router.py
@@ -2,12 +2,14 @@
 
 import json
 
+import h11
 import pytest
 import trio
 
 from router.fakes import caller
 from router.fakes import echo
 from router.fakes import fleet
+from router.fakes import read_request
 from router.fakes import stream_events
 from yuccafold.settings import TelemetrySettings
 
@@ -333,3 +335,28 @@
                     assert (status, body, whole) == (404, b"", True)
 
     run(test)
+
+
+async def head_only(target, stream):
+    """Send the head of an answer and nothing of its body."""
+    http = h11.Connection(h11.SERVER)
+    await read_request(target, stream, http)
+    head = h11.Response(status_code=200, headers=[("Content-Length", "5")])
+    await stream.send_all(http.send(head))
+    await trio.sleep_forever()
+
+
+def test_call_is_answered_when_its_target_sends_a_head_only():
+    async def test():
+        async with fleet(head_only) as (_, addresses, _targets):
+            async with caller(addresses.callers) as client:
+                status, headers, _, whole = await client.call(
+                    "POST",
+                    "/desk/search",
+                    b"abc",
+                    headers=[("Yuccafold-Timeout-Ms", "200")],
+                )
+                assert (status, whole) == (504, True)
+                assert headers["yuccafold-verdict"] == "may-have-run"
+
+    run(test)
