--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -10,7 +10,15 @@
 CI_SEED = 100
 """A seed whose faults stop, kill and reload VMs and disconnect store and targets."""
 
-FAILED_SEEDS = ()
+FAILED_SEEDS = (
+    # A router was not done within its grace; the machine held processes up for seconds.
+    301,
+    # A router that got SIGHUP while it was starting ended without a line.
+    309,
+    # Not served within the recovery timeout; the machine held processes up as well.
+    403,
+    408,
+)
 """Seeds that broke a promise in the past, each with a line on the cause."""
 
 
