Test the fleet router's bodiless and unframed answers

Its refusal of an unframed answer, and its answers to HEAD, with 204 and with 304, now have tests; all pass on the code as it is.

--- a/testing/router/test_router.py
+++ b/testing/router/test_router.py
@@ -360,3 +360,48 @@
                 assert headers["yuccafold-verdict"] == "may-have-run"
 
     run(test)
+
+
+def answering(response):
+    """Return a target that answers each connection's request with these bytes."""
+
+    async def answer(target, stream):
+        await read_request(target, stream, h11.Connection(h11.SERVER))
+        await stream.send_all(response)
+
+    return answer
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_unframed_answer_is_not_relayed_as_complete(method):
+    async def test():
+        unframed = answering(b"HTTP/1.1 200 OK\r\n\r\nhalf of the answ")
+        async with fleet(unframed) as (_, addresses, _targets):
+            async with caller(addresses.callers) as client:
+                status, _, body, _ = await client.call(method, "/desk/search")
+                assert status == 502
+                assert b"half" not in body
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("method", "head", "length"),
+    [
+        pytest.param("HEAD", b"200 OK\r\nContent-Length: 5", "5", id="head"),
+        pytest.param("GET", b"204 No Content", None, id="204"),
+        pytest.param("GET", b"304 Not Modified\r\nContent-Length: 5", "5", id="304"),
+    ],
+)
+def test_answer_without_a_body_keeps_the_length_that_its_target_states(
+    method, head, length
+):
+    async def test():
+        bodiless = answering(b"HTTP/1.1 " + head + b"\r\n\r\n")
+        async with fleet(bodiless) as (_, addresses, _targets):
+            async with caller(addresses.callers) as client:
+                status, headers, body, whole = await client.call(method, "/desk/a")
+                assert (status, body, whole) == (int(head[:3]), b"", True)
+                assert headers.get("content-length") == length
+
+    run(test)
