Log the era of the store, and targets that say they leave

What callers saw: refusals by older settings, and calls to targets that were leaving.

What was missing: logs and metrics had neither the era and revision that a decision rests on, nor that a list went back to lower revisions, nor what a target says of its leaving. A fresh view of a lost state and a right view that isn't obeyed looked alike.

Nothing is decided by any of it yet. The stand-in store returns from a copy of its state and names its era, stand-in targets say that they leave.

--- a/src/yuccafold/edge/__init__.py
+++ b/src/yuccafold/edge/__init__.py
@@ -33,6 +33,7 @@
 from yuccafold.edge._platform_source import PlatformState
 from yuccafold.edge._platform_source import PlatformUnavailableError
 from yuccafold.edge._platform_source import TargetGone
+from yuccafold.edge._positions import StoreEra
 from yuccafold.edge._router import EdgeRouter
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._settings import SocketAddress
@@ -62,6 +63,7 @@
     "RouteName",
     "ServiceSpec",
     "SocketAddress",
+    "StoreEra",
     "TargetGone",
     "TargetLoad",
     "TargetRecord",
--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -249,6 +249,8 @@
             reason=refusal.reason,
             retry_after_ms=refusal.retry_after_ms,
             version=self._gate.version,
+            era=self._gate.era,
+            revision=self._gate.revision,
             view_age_ms=self._gate.view_age(self._clock.now()),
         )
         self._metrics.count("refusals", code=refusal.code)
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -200,6 +200,7 @@
             self._log_failure(call, exchange, error, record, crashed)
             outcome = _outcome_of(error.failure)
             if error.failure is Failure.REFUSED and exchange.facts is not None:
+                self._record_leaving(call, target, exchange.facts)
                 self._targets.record_limit(
                     target.id, exchange.facts.limit, self._clock.now()
                 )
@@ -218,6 +219,14 @@
             with trio.CancelScope(shield=True):
                 await exchange.close()
 
+    def _record_leaving(
+        self, call: Call, target: TargetRecord, facts: AnswerFacts
+    ) -> None:
+        """Record whether an answer of ``target`` said that it is about to stop."""
+        if facts.leaving:
+            self._metrics.count("answers_of_leaving_targets", service=target.service)
+            self._targets.record_leaving(target, call, self._clock.now())
+
     async def _check_crash(
         self, call: Call, exchange: Exchange, target: TargetRecord, failure: Failure
     ) -> bool | None:
@@ -299,6 +308,7 @@
         headers = self._translator.target_headers(call.headers, forwarding)
         await exchange.send(headers)
         head, facts = await self._receive_head(call, target, exchange, relay, record)
+        self._record_leaving(call, target, facts)
         self._targets.record_prompt(call, target.id, self._clock.now())
         self._metrics.record_duration(
             "first_byte_ms", self._clock.now() - now, call.service
@@ -354,6 +364,9 @@
             parts=shown_parts(call),
             fetch=None if source is None else source.record.id,
             rested_ms=idle_time,
+            leaving_ms=self._targets.leaving_age(
+                placement.target.record, self._clock.now()
+            ),
             version=call.admitted.catalogue.version,
             view_age_ms=self._targets.view_age(self._clock.now()),
             left_ms=call.deadline - self._clock.now(),
--- a/src/yuccafold/edge/_gate.py
+++ b/src/yuccafold/edge/_gate.py
@@ -17,6 +17,7 @@
 from yuccafold.edge._model import Account
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import Route
+from yuccafold.edge._positions import StoreEra
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._view import PlatformView
 
@@ -68,6 +69,16 @@
         """The version of the configuration in force; 0 before the first."""
         return self._view.version
 
+    @property
+    def era(self) -> StoreEra | None:
+        """The era of the store that the view was read from."""
+        return self._view.era
+
+    @property
+    def revision(self) -> int:
+        """The revision of the store up to which the view is known."""
+        return self._view.revision
+
     def view_age(self, now: Milliseconds) -> Milliseconds | None:
         """Return the age of the view, ``None`` before it was confirmed."""
         return self._view.age(now)
--- a/src/yuccafold/edge/_model.py
+++ b/src/yuccafold/edge/_model.py
@@ -199,7 +199,8 @@
     ``call_id`` is the call that the answer belongs to, if the headers name it.
     ``signed`` is set if the answer carries a signature. ``not_run`` is set if the
     target states that it did not run the call. ``limit`` is how many calls a second
-    the target takes from all VMs together, if it names a limit.
+    the target takes from all VMs together, if it names a limit. ``leaving`` is set if
+    the target says that it is about to stop.
     """
 
     call_id: CallId | None
@@ -208,6 +209,7 @@
     load: TargetLoad | None = None
     idle_timeout: Milliseconds | None = None
     limit: float | None = None
+    leaving: bool = False
 
 
 @final
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -30,6 +30,7 @@
 from yuccafold.edge._platform_source import PlatformChanges
 from yuccafold.edge._platform_source import PlatformState
 from yuccafold.edge._platform_source import PlatformUnavailableError
+from yuccafold.edge._positions import StoreEra
 from yuccafold.edge._settings import SocketAddress
 from yuccafold.edge._suspect_exchange import SuspectExchange
 from yuccafold.edge._suspect_exchange import answer_suspects
@@ -84,6 +85,11 @@
         """The name of the source in logs and metrics."""
         return str(self._address)
 
+    @property
+    def era(self) -> StoreEra | None:
+        """``None``: VMs don't tell each other of the store's era."""
+        return None
+
     async def read_all(self) -> PlatformState:
         """Return all entries of the other VM."""
         changes, _ = await self._get(VIEW_PATH, VmReport())
@@ -109,7 +115,7 @@
         """Return the sum of the reports of the other VM and those that report to it."""
         query = {"vm": self._vm} | self._suspects.query(self._clock.now())
         try:
-            status, body = await self._connection.get(
+            status, _, body = await self._connection.get(
                 f"{REPORTS_PATH}?{urlencode(query)}"
             )
             if status != 200:
@@ -135,7 +141,7 @@
         self, target: str, local_report: VmReport
     ) -> tuple[PlatformChanges, bool]:
         try:
-            status, body = await self._connection.get(target)
+            status, _, body = await self._connection.get(target)
         except CallFailedError as error:
             raise PlatformUnavailableError(str(error)) from error
         if status != 200:
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -14,6 +14,7 @@
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import Forwarding
 from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._positions import StoreEra
 from yuccafold.http import Headers
 
 
@@ -88,6 +89,11 @@
         """The name of the source in logs and metrics."""
         ...
 
+    @property
+    def era(self) -> StoreEra | None:
+        """The era that the last answer named; ``None`` if none has named one."""
+        ...
+
     async def read_all(self) -> PlatformState:
         """Return the whole current state."""
         ...
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -258,8 +258,20 @@
         state = await source.read_all()
         self._list_reads += 1
         self._needs_list = False
-        for entry in self._table.apply_list(state.entries, state.position):
+        self._record_era(source)
+        changed = self._table.apply_list(state.entries, state.position)
+        log_event(
+            "list_read",
+            source=source.name,
+            era=source.era,
+            revision=state.position,
+            known_revision=self._view.revision,
+            listed=len(state.entries),
+            changed=len(changed),
+        )
+        for entry in changed:
             self._apply_entry(entry)
+        self._view.record_position(self._view.era, self._table.position)
         return state.age
 
     async def _read_changes(
@@ -269,6 +281,7 @@
         self._count_read(source)
         list_reads = self._list_reads
         changes = await source.changes(self._table.position, wait)
+        self._record_era(source)
         if list_reads != self._list_reads:
             # The other task read a list meanwhile, which is newer than these changes.
             return replace(changes, entries=())
@@ -277,8 +290,26 @@
         new = self._table.apply_changes(changes.entries, changes.position)
         for entry in new:
             self._apply_entry(entry)
+        self._view.record_position(self._view.era, self._table.position)
         return replace(changes, entries=tuple(new))
 
+    def _record_era(self, source: PlatformSource) -> None:
+        """Record the era that a source named, and log a change of it."""
+        era, known = source.era, self._view.era
+        if era is None or era == known:
+            return
+        log_event(
+            "store_era_changed",
+            source=source.name,
+            era=era,
+            was=known,
+            revision=self._view.revision,
+            version=self._view.version,
+            view_age_ms=self._view.age(self._clock.now()),
+        )
+        self._metrics.count("store_era_changes")
+        self._view.record_position(era, self._view.revision)
+
     def _check_watch(self, missed_changes: bool) -> None:
         """Replace a watch that didn't report changes that the last confirmation found.
 
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -280,6 +280,8 @@
         targets, leaving = self._view.counts()
         self._metrics.set_gauge("connections", len(self._callers))
         self._metrics.set_gauge("settings_version", self._view.version)
+        self._metrics.set_gauge("store_era", self._view.era or 0)
+        self._metrics.set_gauge("store_revision", self._view.revision)
         self._metrics.set_gauge("view_age_ms", self._view.age(self._clock.now()) or 0)
         self._metrics.set_gauge("vms", self._targets.evidence.loads.vm_count)
         self._metrics.set_gauge("targets", targets)
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -11,6 +11,7 @@
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
+from yuccafold.edge._positions import StoreEra
 
 EXPIRED_ENTRY_GRACE = Milliseconds(2_000)
 """How long entries that expired in an outage of the platform take to come back."""
@@ -55,6 +56,8 @@
         self._by_service: dict[ServiceId, list[KnownTarget]] = {}
         self._confirmed_at: Milliseconds | None = None
         self._outage_until = Milliseconds(0)
+        self._era: StoreEra | None = None
+        self._revision = 0
 
     @property
     def catalogue(self) -> Catalogue | None:
@@ -66,6 +69,20 @@
         """The version of the catalogue in force; 0 before the first."""
         return 0 if self._catalogue is None else self._catalogue.version
 
+    @property
+    def era(self) -> StoreEra | None:
+        """The era of the store that was read last; ``None`` if it names none."""
+        return self._era
+
+    @property
+    def revision(self) -> int:
+        """The revision of the store up to which all changes are known."""
+        return self._revision
+
+    def record_position(self, era: StoreEra | None, revision: int) -> None:
+        """Record up to which state of the store this VM has read."""
+        self._era, self._revision = era, revision
+
     def age(self, now: Milliseconds) -> Milliseconds | None:
         """Return the time since the view was confirmed, ``None`` if it never was."""
         if self._confirmed_at is None:
--- a/src/yuccafold/http/_client.py
+++ b/src/yuccafold/http/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 from typing import final
 
 import h11
@@ -10,6 +11,7 @@
 
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Milliseconds
+from yuccafold.http._stream import Headers
 from yuccafold.http._stream import HttpStream
 
 MAX_HEAD_BYTES = 65_536
@@ -35,6 +37,15 @@
     answer_timeout: Milliseconds = Milliseconds(15_000)
 
 
+@final
+class HttpAnswer(NamedTuple):
+    """The complete answer to a call."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 @final
 class PersistentConnection:
     """A persistent connection to a server, opened on demand, for one call at a time."""
@@ -47,8 +58,8 @@
 
     async def get(
         self, target: str, wait: Milliseconds = Milliseconds(0)
-    ) -> tuple[int, bytes]:
-        """Return status and body; ``wait`` is the extra time allowed for a long poll.
+    ) -> HttpAnswer:
+        """Return the answer; ``wait`` is the extra time allowed for a long poll.
 
         Raises ``CallFailedError`` if there is no complete answer.
         """
@@ -78,16 +89,17 @@
 
     async def _call(
         self, target: str, scope: trio.CancelScope, silence: float
-    ) -> tuple[int, bytes]:
+    ) -> HttpAnswer:
         http = await self._connection()
         host = ("Host", f"{self._host}:{self._port}")
         request = h11.Request(method="GET", target=target, headers=[host])
         await http.send(request, h11.EndOfMessage())
         status, body = 0, bytearray()
+        headers: Headers = ()
         while not isinstance(event := await http.next_event(), h11.EndOfMessage):
             scope.relative_deadline = silence
             if isinstance(event, h11.Response):
-                status = event.status_code
+                status, headers = event.status_code, tuple(event.headers)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_BODY_BYTES:
@@ -102,7 +114,7 @@
             http.protocol.start_next_cycle()
         else:
             await self.close()
-        return status, bytes(body)
+        return HttpAnswer(status, headers, bytes(body))
 
     async def _connection(self) -> HttpStream:
         if self._http is not None and not self._http.is_clean():
--- a/src/yuccafold/platform/_headers.py
+++ b/src/yuccafold/platform/_headers.py
@@ -105,6 +105,7 @@
             load=_parse_load(first_value(headers, b"x-engine-load")),
             idle_timeout=_parse_idle_timeout(first_value(headers, b"keep-alive")),
             limit=_parse_limit(first_value(headers, b"server-limit")),
+            leaving=first_value(headers, b"server-leaving") == "1",
         )
 
 
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import re
 from typing import TypeVar
 from typing import final
 from urllib.parse import urlencode
@@ -18,10 +19,13 @@
 from yuccafold.edge import PlatformState
 from yuccafold.edge import PlatformUnavailableError
 from yuccafold.edge import SocketAddress
+from yuccafold.edge import StoreEra
 from yuccafold.edge import TargetGone
 from yuccafold.http import CallFailedError
 from yuccafold.http import CallTimeouts
+from yuccafold.http import Headers
 from yuccafold.http import PersistentConnection
+from yuccafold.http import first_value
 from yuccafold.platform._catalogue import read_catalogue
 from yuccafold.platform._catalogue import read_target
 from yuccafold.platform._json import JsonObject
@@ -38,6 +42,9 @@
 ALL_KEYS_PREFIX = ""
 GONE_STATUS = 410
 
+ERA_HEADER = b"store-era"
+ERA_VALUE = re.compile(r"[0-9]{1,9}", re.ASCII)
+
 Kind = TypeVar("Kind")
 
 
@@ -57,12 +64,18 @@
         self._watch_connection = PersistentConnection(
             address.host, address.port, timeouts
         )
+        self._era: StoreEra | None = None
 
     @property
     def name(self) -> str:
         """The name of the source in logs and metrics."""
         return "store"
 
+    @property
+    def era(self) -> StoreEra | None:
+        """The era that the last answer named; ``None`` if none has named one."""
+        return self._era
+
     async def read_all(self) -> PlatformState:
         """Return the whole current state.
 
@@ -75,7 +88,7 @@
         after = ""
         while True:
             query = {"prefix": ALL_KEYS_PREFIX} | ({"after": after} if after else {})
-            page = await _get(self._read_connection, "/-/kv-range", query)
+            page = await self._get(self._read_connection, "/-/kv-range", query)
             first_revision = (
                 _store_revision(page) if first_revision is None else first_revision
             )
@@ -94,7 +107,7 @@
         """
         query = {"prefix": ALL_KEYS_PREFIX, "after": after, "wait_ms": wait}
         connection = self._watch_connection if wait else self._read_connection
-        answer = await _get(connection, "/-/kv-watch", query, wait)
+        answer = await self._get(connection, "/-/kv-watch", query, wait)
         entries = tuple(_entry(item) for item in _items(answer, "events"))
         return PlatformChanges(entries, max(after, _store_revision(answer)))
 
@@ -103,26 +116,38 @@
         await self._read_connection.close()
         await self._watch_connection.close()
 
-
-async def _get(
-    connection: PersistentConnection,
-    path: str,
-    query: dict[str, object],
-    wait: Milliseconds = Milliseconds(0),
-) -> JsonObject:
-    """Return the JSON object of a successful answer."""
-    try:
-        status, body = await connection.get(f"{path}?{urlencode(query)}", wait)
-    except CallFailedError as error:
-        raise PlatformUnavailableError(str(error)) from error
-    if status == GONE_STATUS:
-        raise HistoryLostError(f"status {status} for {path}")
-    if status != 200:
-        raise PlatformUnavailableError(f"status {status} for {path}")
-    try:
-        return parse_object(body)
-    except ValueError as error:
-        raise PlatformUnavailableError(str(error)) from error
+    async def _get(
+        self,
+        connection: PersistentConnection,
+        path: str,
+        query: dict[str, object],
+        wait: Milliseconds = Milliseconds(0),
+    ) -> JsonObject:
+        """Return the JSON object of a successful answer."""
+        try:
+            answer = await connection.get(f"{path}?{urlencode(query)}", wait)
+        except CallFailedError as error:
+            raise PlatformUnavailableError(str(error)) from error
+        self._era = _parse_era(answer.headers) or self._era
+        if answer.status == GONE_STATUS:
+            raise HistoryLostError(f"status {answer.status} for {path}")
+        if answer.status != 200:
+            raise PlatformUnavailableError(f"status {answer.status} for {path}")
+        try:
+            return parse_object(answer.body)
+        except ValueError as error:
+            raise PlatformUnavailableError(str(error)) from error
+
+
+def _parse_era(headers: Headers) -> StoreEra | None:
+    """Return the era that an answer names; a malformed one counts as none."""
+    text = first_value(headers, ERA_HEADER)
+    if text is None:
+        return None
+    if ERA_VALUE.fullmatch(text) is None:
+        log_event("store_era_malformed", value=text)
+        return None
+    return StoreEra(int(text))
 
 
 def _store_revision(answer: JsonObject) -> int:
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -46,6 +46,7 @@
 from yuccafold.standins._platform_forms import shared_parts
 from yuccafold.standins._platform_store import PlatformStore
 from yuccafold.standins._platform_store import PlatformStoreSettings
+from yuccafold.standins._platform_store import StoreCopy
 from yuccafold.standins._platform_target import PlatformTarget
 from yuccafold.standins._platform_target import PlatformTargetSettings
 from yuccafold.standins._platform_target import TargetMode
@@ -92,6 +93,7 @@
     "PlatformStoreSettings",
     "PlatformTarget",
     "PlatformTargetSettings",
+    "StoreCopy",
     "Priority",
     "PublishedRoute",
     "PublishedTarget",
--- a/src/yuccafold/standins/_platform_store.py
+++ b/src/yuccafold/standins/_platform_store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from itertools import islice
 from typing import Any
@@ -13,6 +14,7 @@
 
 from yuccafold.standins._http import BoundAddress
 from yuccafold.standins._http import Exchange
+from yuccafold.standins._http import Headers
 from yuccafold.standins._http import HttpServer
 from yuccafold.standins._http import ServerSettings
 from yuccafold.standins._platform_forms import CONFIGURATION_KEY
@@ -21,6 +23,7 @@
 
 MS_PER_SECOND = 1000
 MAX_WAIT_MS = 30_000
+ERA_HEADER = "Store-Era"
 
 
 @final
@@ -55,13 +58,24 @@
         }
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the store's items, history and revision, to return from later."""
+
+    items: Mapping[str, StoredChange]
+    history: tuple[StoredChange, ...]
+    revision: int
+
+
 @final
 class PlatformStore:
     """Serves lists and watches; tests write to it by ``put`` and ``remove``.
 
     While ``refuse_with`` is set, every call is answered with that status. While
     ``watches_unresponsive`` is set, watches wait for their whole time and report
-    no change.
+    no change. All answers name ``era`` unless it is ``None``; ``return_from`` raises
+    it.
     """
 
     def __init__(self, settings: PlatformStoreSettings) -> None:
@@ -75,6 +89,7 @@
         self._server = HttpServer(settings.server, self._handle)
         self.refuse_with: int | None = None
         self.watches_unresponsive = False
+        self.era: int | str | None = None
 
     @property
     def server(self) -> HttpServer:
@@ -121,6 +136,22 @@
         self._history.clear()
         self._compacted_revision = self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(dict(self._items), tuple(self._history), self._revision)
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose all changes since ``copy`` was made, and begin the next era.
+
+        Later changes get the revisions of lost ones.
+        """
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self.era = self.era + 1 if isinstance(self.era, int) else self.era
+        self._wake_watches()
+
     async def serve(
         self, *, task_status: trio.TaskStatus[BoundAddress] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -131,23 +162,36 @@
         self._revision += 1
         change = StoredChange(key, self._revision, value)
         self._history.append(change)
+        self._wake_watches()
+        return change
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
-        return change
+
+    def _headers(self) -> Headers:
+        return () if self.era is None else ((ERA_HEADER, str(self.era)),)
 
     async def _handle(self, exchange: Exchange) -> None:
         path = exchange.request.path
         self._calls.append(path)
         if self.refuse_with is not None:
-            return await exchange.refuse(self.refuse_with, "refused", "told to refuse")
+            message = "told to refuse"
+            return await exchange.refuse(
+                self.refuse_with, "refused", message, self._headers()
+            )
         try:
             if path == "/-/kv-range":
                 return await self._list(exchange)
             if path == "/-/kv-watch":
                 return await self._watch(exchange)
         except ValueError as error:
-            return await exchange.refuse(400, "bad-request", str(error))
-        return await exchange.refuse(404, "unknown-path", "expected a read")
+            return await exchange.refuse(
+                400, "bad-request", str(error), self._headers()
+            )
+        return await exchange.refuse(
+            404, "unknown-path", "expected a read", self._headers()
+        )
 
     async def _list(self, exchange: Exchange) -> None:
         prefix = exchange.request.query("prefix") or ""
@@ -164,17 +208,22 @@
                 "more_pages": len(page) > len(shown),
                 "as_of": self._revision,
             },
+            self._headers(),
         )
 
     async def _watch(self, exchange: Exchange) -> None:
         prefix = exchange.request.query("prefix") or ""
         after = exchange.request.query_number("after", 0)
         wait_ms = min(MAX_WAIT_MS, exchange.request.query_number("wait_ms", 0))
-        if after < self._compacted_revision:
-            return await exchange.refuse(410, "compacted", "history is gone")
         with trio.move_on_after(wait_ms / MS_PER_SECOND):
-            while self.watches_unresponsive or not self._changes_since(prefix, after):
+            while self._has_history(after) and (
+                self.watches_unresponsive or not self._changes_since(prefix, after)
+            ):
                 await self._changed.wait()
+        if not self._has_history(after):
+            return await exchange.refuse(
+                410, "compacted", "history is gone", self._headers()
+            )
         events = [] if self.watches_unresponsive else self._changes_since(prefix, after)
         return await exchange.respond_json(
             200,
@@ -182,8 +231,13 @@
                 "events": [change.as_json() for change in events],
                 "as_of": after if self.watches_unresponsive else self._revision,
             },
+            self._headers(),
         )
 
+    def _has_history(self, after: int) -> bool:
+        """Return whether the store has ``after``, and all changes since."""
+        return self._compacted_revision <= after <= self._revision
+
     def _changes_since(self, prefix: str, after: int) -> list[StoredChange]:
         return [
             change
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -23,7 +23,9 @@
 MS_PER_SECOND = 1000
 BODILESS_STATUSES = (204, 304)
 SIGNATURE = "X-Response-Signature"
+NOT_RUN = ("X-Not-Executed", "1")
 LIMIT_HEADER = "Server-Limit"
+LEAVING: Headers = (("Server-Leaving", "1"),)
 
 
 class TargetMode(Enum):
@@ -100,6 +102,8 @@
         self._lethal_runs: list[str] = []
         self.limit: float | None = None
         """The requests a second that answers name as the limit of all VMs together."""
+        self.leaving = False
+        """Whether all answers say that the target is about to stop."""
         self.mode = TargetMode.HEALTHY
 
     @property
@@ -144,10 +148,10 @@
         attempt = attempt_of(request)
         expected = request.header("x-expect-instance")
         if expected not in (None, self.id):
-            headers = (("X-Engine-Id", self.id), ("X-Not-Executed", "1"))
+            headers = (("X-Engine-Id", self.id), NOT_RUN, *self._notice())
             return await exchange.respond(421, b"", headers)
         if self.mode is TargetMode.FULL:
-            return await exchange.respond(503, b"", (("X-Not-Executed", "1"),))
+            return await exchange.respond(503, b"", (NOT_RUN, *self._notice()))
         self._runs.append(attempt)
         if self._on_run is not None:
             self._on_run(self.id, request)
@@ -185,6 +189,9 @@
         self._server.crash()
         await trio.sleep_forever()
 
+    def _notice(self) -> Headers:
+        return LEAVING if self.leaving else ()
+
     def _headers(self, attempt: str) -> Headers:
         answered_attempt = (
             "another" if self.mode is TargetMode.WRONG_ATTEMPT else attempt
@@ -196,6 +203,7 @@
             ("Keep-Alive", f"timeout={self._settings.idle_timeout_s}"),
             *(() if self.limit is None else ((LIMIT_HEADER, str(self.limit)),)),
             *(() if self.mode is TargetMode.UNSIGNED else signature),
+            *self._notice(),
         )
 
     async def _stream(self, exchange: Exchange, headers: Headers) -> None:
--- a/testing/edge/test_reader.py
+++ b/testing/edge/test_reader.py
@@ -49,6 +49,7 @@
     """A store whose changes and failures a test sets."""
 
     name = "store"
+    era = None
 
     def __init__(self):
         self.table = EntryTable()
@@ -108,6 +109,8 @@
 class Peer:
     """A source that returns the view of another ``vm``."""
 
+    era = None
+
     def __init__(self, name, vm):
         self.name = name
         self.vm = vm
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -110,3 +110,11 @@
 
 def test_not_executed_header_is_parsed():
     assert HeaderTranslator().read_answer(((b"x-not-executed", b"1"),)).not_run
+
+
+@pytest.mark.parametrize(
+    ("value", "leaving"), [(b"1", True), (b"0", False), (b"", False), (b"yes", False)]
+)
+def test_leaving_header_is_parsed(value, leaving):
+    facts = HeaderTranslator().read_answer(((b"server-leaving", value),))
+    assert facts.leaving is leaving
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -269,3 +269,27 @@
             assert cuts > 100
 
     run()
+
+
+@pytest.mark.parametrize(
+    ("named", "era"), [(None, None), (1, 1), ("x", None), ("-1", None), ("", None)]
+)
+def test_era_of_the_store_is_parsed(named, era):
+    @on_trio
+    async def run():
+        async with store_with() as (store, source):
+            store.era = named
+            await source.read_all()
+            assert source.era == era
+
+    run()
+
+
+@on_trio
+async def test_watch_from_a_revision_that_the_store_lost_raises_history_lost():
+    async with store_with() as (store, source):
+        copy = store.copy()
+        lost = store.put("servers/t1", wire_target("10.0.0.1:80"))
+        store.return_from(copy)
+        with pytest.raises(HistoryLostError):
+            await source.changes(lost, SHORT_WAIT)
