--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -132,6 +132,11 @@
         """Whether new calls should come to this VM."""
         return not self.draining and self._gate.is_ready(self._clock.now())
 
+    @property
+    def settings_version(self) -> int:
+        """The version of the configuration in force; 0 before the first."""
+        return self._view.version
+
     @property
     def limits(self) -> CallerLimits:
         """The limits for callers in the catalogue in force, or the defaults."""
--- a/testing/edge/edge_fleet.py
+++ b/testing/edge/edge_fleet.py
@@ -149,7 +149,7 @@
         if "lethal" in (request.header("x-prompt-prefix") or ""):
             self.reached.append((trio.current_time(), request.header("x-attempt-id")))
 
-    async def call(self, vm, path, parts, body=b"question"):
+    async def call(self, vm, path, parts, body=b"question", *headers, key=KEY):
         """Make one call; return status, head and body.
 
         It has a prompt of ``parts`` and a last part of its own, unless there are none.
@@ -161,7 +161,8 @@
             "Host: fleet.example",
             f"X-Attempt-Id: a{number}",
             f"Content-Length: {len(body)}",
-            f"X-Key: {KEY}",
+            f"X-Key: {key}",
+            *headers,
             *([f"X-Prompt-Prefix: {prompt}"] if parts else []),
             "X-Deadline-Ms: 3000",
             "Connection: close",
