--- a/src/yuccafold/edge/__init__.py
+++ b/src/yuccafold/edge/__init__.py
@@ -33,12 +33,20 @@
 from yuccafold.edge._platform_source import PlatformState
 from yuccafold.edge._platform_source import PlatformUnavailableError
 from yuccafold.edge._platform_source import TargetGone
+from yuccafold.edge._positions import MAX_REVISION
+from yuccafold.edge._positions import NO_ERA
+from yuccafold.edge._positions import Position
 from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import era_of
+from yuccafold.edge._positions import position_of
+from yuccafold.edge._positions import revision_of
 from yuccafold.edge._router import EdgeRouter
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._settings import SocketAddress
 
 __all__ = [
+    "MAX_REVISION",
+    "NO_ERA",
     "Account",
     "AnswerFacts",
     "CallHead",
@@ -57,6 +65,7 @@
     "PlatformSource",
     "PlatformState",
     "PlatformUnavailableError",
+    "Position",
     "PromptPart",
     "Repeatability",
     "Route",
@@ -68,5 +77,8 @@
     "TargetLoad",
     "TargetRecord",
     "TargetState",
+    "era_of",
     "index_routes",
+    "position_of",
+    "revision_of",
 ]
--- a/src/yuccafold/edge/_entries.py
+++ b/src/yuccafold/edge/_entries.py
@@ -4,9 +4,14 @@
 
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import final
 
 from yuccafold.edge._platform_source import Entry
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
+from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import era_of
 
 LONG_VALUE_BYTES = 4_096
 """Values of at least this size are sent to other VMs as differences."""
@@ -19,25 +24,80 @@
 """Removals that are remembered for VMs that ask for changes: a day of churn."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class SettingsInForce:
+    """The configuration that this VM applies: its version and its entry.
+
+    It may be newer than the entry that the store has, if the store lost it.
+    """
+
+    version: int
+    entry: Entry
+
+
 @final
 class EntryTable:
     """Holds the latest entry of each key, with a limited number of removed keys.
 
-    Entries may arrive out of order and repeatedly; the highest revision wins.
+    Entries may arrive out of order and repeatedly; the highest position wins. Entries
+    of an earlier era than the table's are ignored: the store has lost them, or writes
+    them again in its present era.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
         self._earlier_versions: dict[str, deque[Entry]] = {}
-        self._position = 0
-        self._forgotten_revision = 0
+        self._position = START
+        self._forgotten = START
+        self._is_complete = True
+        self._in_force: SettingsInForce | None = None
 
     @property
-    def position(self) -> int:
-        """The revision up to which all changes are known; 0 before any are applied."""
+    def position(self) -> Position:
+        """The position up to which all changes are known."""
         return self._position
 
-    def apply_changes(self, entries: Iterable[Entry], position: int) -> list[Entry]:
+    @property
+    def era(self) -> StoreEra:
+        """The era of the position."""
+        return era_of(self._position)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether no entries of an earlier era are left to be read again."""
+        return self._is_complete
+
+    @property
+    def in_force(self) -> SettingsInForce | None:
+        """The configuration in force; other VMs are told if the store lost it."""
+        return self._in_force
+
+    def put_in_force(self, settings: SettingsInForce) -> None:
+        """Record the configuration in force."""
+        self._in_force = settings
+
+    def begin_era(self) -> None:
+        """Record that the entries are about to be replaced by those of a later era."""
+        self._is_complete = False
+
+    def remove_lost(self) -> list[Entry]:
+        """End ``begin_era``: remove the entries that the later era doesn't have.
+
+        To be called once all changes of the later era were applied; returns the
+        removals.
+        """
+        self._is_complete = True
+        lost = [
+            Entry(entry.key, self._position, None)
+            for entry in self._entries.values()
+            if entry.value is not None and era_of(entry.position) < self.era
+        ]
+        return self.apply_changes(lost, self._position)
+
+    def apply_changes(
+        self, entries: Iterable[Entry], position: Position
+    ) -> list[Entry]:
         """Apply changes up to ``position``; return those that are new."""
         new = [entry for entry in entries if self._is_new(entry)]
         for entry in new:
@@ -47,7 +107,7 @@
         self._forget_removed()
         return new
 
-    def apply_list(self, entries: Iterable[Entry], position: int) -> list[Entry]:
+    def apply_list(self, entries: Iterable[Entry], position: Position) -> list[Entry]:
         """Apply a complete list of entries; return the changes.
 
         Keys that aren't in the list are returned as removed, unless they are newer
@@ -60,28 +120,28 @@
             for key, entry in self._entries.items()
             if key not in listed_keys
             and entry.value is not None
-            and entry.revision <= position
+            and entry.position <= position
         ]
         return self.apply_changes([*listed, *missing], position)
 
-    def version_at(self, key: str, position: int) -> Entry | None:
+    def version_at(self, key: str, position: Position) -> Entry | None:
         """Return the entry of ``key`` as of ``position``.
 
         Returns ``None`` if the key was removed by then or that version isn't kept.
         """
         versions = [*self._earlier_versions.get(key, ()), *self._current(key)]
-        known = [entry for entry in versions if entry.revision <= position]
+        known = [entry for entry in versions if entry.position <= position]
         return known[-1] if known and known[-1].value is not None else None
 
-    def changes_since(self, after: int) -> list[Entry] | None:
-        """Return the changes after revision ``after``.
+    def changes_since(self, after: Position) -> list[Entry] | None:
+        """Return the changes after ``after``.
 
         Returns ``None`` if some of them are forgotten.
         """
-        if after < self._forgotten_revision:
+        if after < self._forgotten:
             return None
-        changed = (entry for entry in self._entries.values() if entry.revision > after)
-        return sorted(changed, key=lambda entry: entry.revision)
+        changed = (entry for entry in self._entries.values() if entry.position > after)
+        return sorted(changed, key=lambda entry: entry.position)
 
     def present(self) -> list[Entry]:
         """Return the entries that were not removed."""
@@ -101,16 +161,18 @@
                 kept.append(entry)
 
     def _is_new(self, entry: Entry) -> bool:
+        if era_of(entry.position) < self.era:
+            return False
         known = self._entries.get(entry.key)
         if known is None:
-            return entry.value is not None or entry.revision > self._forgotten_revision
-        return entry.revision > known.revision
+            return entry.value is not None or entry.position > self._forgotten
+        return entry.position > known.position
 
     def _forget_removed(self) -> None:
         removed = [entry for entry in self._entries.values() if entry.value is None]
         if len(removed) <= MAX_REMEMBERED_REMOVALS:
             return
-        removed.sort(key=lambda entry: entry.revision)
+        removed.sort(key=lambda entry: entry.position)
         for entry in removed[: len(removed) // 2]:
             del self._entries[entry.key]
-            self._forgotten_revision = max(self._forgotten_revision, entry.revision)
+            self._forgotten = max(self._forgotten, entry.position)
--- a/src/yuccafold/edge/_gate.py
+++ b/src/yuccafold/edge/_gate.py
@@ -18,6 +18,7 @@
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import Route
 from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import revision_of
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._view import PlatformView
 
@@ -28,6 +29,10 @@
 """Share of the lifetime of keys after which this VM reports not ready: by then two
 confirmations of the view have failed."""
 
+LOST_SETTINGS_SHARE = 0.5
+"""Share of the time in which a configuration has to take effect, for which one that the
+store lost may not be written again. The rest is left for noticing the loss."""
+
 RETRY_AFTER_START = Milliseconds(500)
 """Retry delay while this VM has no configuration. If all VMs started at once, a long
 configuration takes half a second on a slow link, and no other VM has it sooner."""
@@ -52,7 +57,8 @@
 
     While the view is older than ``apply_within``, the time in which a configuration
     has to take effect, an unknown route or key may be a new one: such calls are
-    refused as not run, with a delay after which the caller may retry. If keys fail
+    refused as not run, with a delay after which the caller may retry. The same holds
+    right after the store came back from an older copy. If keys fail
     closed, they expire before the view is older than ``key_lifetime``, the time for
     which a revoked key may still be accepted.
     """
@@ -70,14 +76,14 @@
         return self._view.version
 
     @property
-    def era(self) -> StoreEra | None:
+    def era(self) -> StoreEra:
         """The era of the store that the view was read from."""
         return self._view.era
 
     @property
     def revision(self) -> int:
         """The revision of the store up to which the view is known."""
-        return self._view.revision
+        return revision_of(self._view.position)
 
     def view_age(self, now: Milliseconds) -> Milliseconds | None:
         """Return the age of the view, ``None`` before it was confirmed."""
@@ -139,6 +145,9 @@
         age = self._view.age(now)
         if age is None or age > self._settings.apply_within:
             return self._refuse_with_retry(code, f"{reason} in an old view")
+        doubt_time = self._settings.apply_within * LOST_SETTINGS_SHARE
+        if self._view.may_lack_settings(now, Milliseconds(round(doubt_time))):
+            return self._refuse_with_retry(code, f"{reason}, but the store lost some")
         return Refusal(status, code, reason, Verdict.NOT_RUN)
 
     def _refuse_with_retry(self, code: str, reason: str) -> Refusal:
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -30,7 +30,14 @@
 from yuccafold.edge._platform_source import PlatformChanges
 from yuccafold.edge._platform_source import PlatformState
 from yuccafold.edge._platform_source import PlatformUnavailableError
+from yuccafold.edge._positions import FIRST_ERA
+from yuccafold.edge._positions import NO_ERA
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
 from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import era_of
+from yuccafold.edge._positions import position_of
+from yuccafold.edge._positions import revision_of
 from yuccafold.edge._settings import SocketAddress
 from yuccafold.edge._suspect_exchange import SuspectExchange
 from yuccafold.edge._suspect_exchange import answer_suspects
@@ -51,6 +58,9 @@
 VIEW_PATH = "/view"
 REPORTS_PATH = "/reports"
 
+ERA_FIELD = "era"
+SETTINGS_FIELD = "settings"
+
 MAX_ANSWER_BYTES = 16_384
 """Size at which an answer ends and the rest must be requested; 16 KiB take about 30 ms
 on the slowest links of 5 Mbit/s."""
@@ -79,6 +89,7 @@
         self._clock = clock
         self._connection = PersistentConnection(address.host, address.port, timeouts)
         self._suspects = SuspectExchange(evidence.quarantine, str(address))
+        self._newer_settings: Entry | None = None
 
     @property
     def name(self) -> str:
@@ -86,21 +97,22 @@
         return str(self._address)
 
     @property
-    def era(self) -> StoreEra | None:
-        """``None``: VMs don't tell each other of the store's era."""
-        return None
+    def newer_settings(self) -> Entry | None:
+        """The settings that the last report came with: newer than those of this VM."""
+        return self._newer_settings
 
     async def read_all(self) -> PlatformState:
         """Return all entries of the other VM."""
         changes, _ = await self._get(VIEW_PATH, VmReport())
         return PlatformState(changes.entries, changes.position, changes.age)
 
-    async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
+    async def changes(self, after: Position, wait: Milliseconds) -> PlatformChanges:
         """Return the changes after ``after`` at the other VM, without waiting."""
         now = self._clock.now()
         local_report = self._evidence.local_report(now)
         query = (
-            {"after": after, "vm": self._vm}
+            {"after": revision_of(after), "vm": self._vm}
+            | self._state_fields(after)
             | local_report.as_fields(now)
             | self._suspects.query(now)
         )
@@ -113,7 +125,11 @@
 
     async def report(self) -> VmReport:
         """Return the sum of the reports of the other VM and those that report to it."""
-        query = {"vm": self._vm} | self._suspects.query(self._clock.now())
+        query = (
+            {"vm": self._vm}
+            | self._state_fields(self._table.position)
+            | self._suspects.query(self._clock.now())
+        )
         try:
             status, _, body = await self._connection.get(
                 f"{REPORTS_PATH}?{urlencode(query)}"
@@ -123,6 +139,7 @@
             answer = json.loads(body)
             now = self._clock.now()
             self._suspects.record_answer(answer, now)
+            self._newer_settings = self._settings(answer)
             return VmReport.from_fields(answer, now)
         except (
             CallFailedError,
@@ -130,6 +147,7 @@
             TypeError,
             KeyError,
             AttributeError,
+            zlib.error,
         ) as error:
             raise PlatformUnavailableError(repr(error)) from error
 
@@ -148,13 +166,17 @@
             raise PlatformUnavailableError(f"status {status}")
         try:
             answer = json.loads(body)
-            entries = tuple(self._entry(row) for row in answer["entries"])
+            era = self._era_of(answer)
+            position = position_of(era, int(answer["position"]))
+            is_earlier = era < self._table.era
+            rows = () if is_earlier else answer["entries"]
             changes = PlatformChanges(
-                entries,
-                int(answer["position"]),
+                tuple(self._entry(row, era) for row in rows),
+                position,
                 Milliseconds(int(answer["age_ms"])),
                 bool(answer["in_outage"]),
                 not answer.get("more", False),
+                self._settings(answer),
             )
             if "loads" in answer:
                 now = self._clock.now()
@@ -165,17 +187,48 @@
         except (ValueError, TypeError, KeyError, zlib.error) as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
 
-    def _entry(self, row: dict[str, Any]) -> Entry:
-        key, revision = str(row["key"]), int(row["revision"])
+    def _state_fields(self, after: Position) -> dict[str, Any]:
+        """Return the query fields that say which state this VM has."""
+        in_force = self._table.in_force
+        return {
+            "era": era_of(after),
+            "settings": 0 if in_force is None else in_force.version,
+        }
+
+    def _era_of(self, answer: dict[str, Any]) -> StoreEra:
+        """Return the era of an answer.
+
+        A VM of an earlier build names none. It can't tell eras apart, so its view is
+        not used once the store has come back from a copy.
+        """
+        if ERA_FIELD in answer:
+            return StoreEra(int(answer[ERA_FIELD]))
+        if self._table.era > FIRST_ERA:
+            detail = f"answer names no era, expected {self._table.era}"
+            raise PlatformUnavailableError(detail)
+        return self._table.era
+
+    def _settings(self, answer: dict[str, Any]) -> Entry | None:
+        """Return the settings that the other VM has in force, if it sent them."""
+        row = answer.get(SETTINGS_FIELD)
+        return None if row is None else self._entry(row, NO_ERA)
+
+    def _entry(self, row: dict[str, Any], answer_era: StoreEra) -> Entry:
+        """Return the entry of a row; it names its era if that isn't the answer's."""
+        key = str(row["key"])
+        era = StoreEra(int(row.get(ERA_FIELD, answer_era)))
+        position = position_of(era, int(row["revision"]))
         if "delta" in row:
-            base = self._table.version_at(key, int(row["base"]))
-            if base is None or base.revision != row["base"] or base.value is None:
+            base_era = StoreEra(int(row.get("base_era", era)))
+            base_position = position_of(base_era, int(row["base"]))
+            base = self._table.version_at(key, base_position)
+            if base is None or base.position != base_position or base.value is None:
                 raise ValueError(f"expected {key} of revision {row['base']} as base")
             delta = json.loads(_decompress(row["delta"]))
-            return Entry(key, revision, apply_delta(base.value, delta))
+            return Entry(key, position, apply_delta(base.value, delta))
         if row.get("value") is None:
-            return Entry(key, revision, None)
-        return Entry(key, revision, _decompress(row["value"]))
+            return Entry(key, position, None)
+        return Entry(key, position, _decompress(row["value"]))
 
 
 @final
@@ -200,7 +253,9 @@
         self._view = view
         self._evidence = evidence
         self._fleet_reports = fleet_reports
-        self._content_cache: dict[str, dict[tuple[int, int], dict[str, Any]]] = {}
+        self._content_cache: dict[
+            str, dict[tuple[Position, Position], dict[str, Any]]
+        ] = {}
 
     def answer(self, target: str) -> tuple[int, str]:
         """Return the status and body for a request of another VM."""
@@ -210,31 +265,64 @@
         local_report = self._evidence.local_report(now)
         if parts.path == REPORTS_PATH:
             total = self._fleet_reports.seed_total(local_report, now)
-            return 200, json.dumps(total.as_fields(now) | self._suspects(query, now))
+            fields = total.as_fields(now) | self._suspects(query, now)
+            return 200, json.dumps(fields | self._newer_settings(query))
         age = self._view.age(now)
-        if age is None:
+        if age is None or not self._table.is_complete:
             return 503, "no view yet\n"
-        after = query.get("after", "")
         self._record_report(query, now)
-        position = int(after) if after.isdigit() else 0
+        position = self._requested_position(query)
         changed = self._table.changes_since(position) if position else None
         value: dict[str, Any] = {
             "age_ms": age,
             "in_outage": self._view.in_outage(now),
             "whole": changed is None,
-            "position": self._table.position,
+            "position": revision_of(self._table.position),
+            ERA_FIELD: self._table.era,
         }
         value |= self._fleet_reports.total(local_report, now).as_fields(now)
-        value |= self._suspects(query, now)
+        value |= self._suspects(query, now) | self._newer_settings(query)
         if changed is None:
-            rows = [self._row(entry, 0) for entry in self._table.present()]
+            rows = [self._row(entry, START) for entry in self._table.present()]
         else:
             rows = list(self._limited_rows(changed, position))
             if len(rows) < len(changed):
-                value["position"] = changed[len(rows) - 1].revision
+                reached = changed[len(rows) - 1].position
+                value |= {"position": revision_of(reached), ERA_FIELD: era_of(reached)}
                 value["more"] = True
+        for row in rows:
+            if row[ERA_FIELD] == value[ERA_FIELD]:
+                del row[ERA_FIELD]
         return 200, json.dumps(value | {"entries": rows})
 
+    def _requested_position(self, query: dict[str, str]) -> Position:
+        """Return the position of the requesting VM; one of an earlier build has no era.
+
+        Its revisions are taken for those of this VM's era, which is right unless the
+        store came back from a copy.
+        """
+        after, era = query.get("after", ""), query.get(ERA_FIELD, "")
+        if not after.isdigit():
+            return START
+        return position_of(
+            StoreEra(int(era)) if era.isdigit() else self._table.era, int(after)
+        )
+
+    def _newer_settings(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return the settings in force as a field, if the requester may miss them.
+
+        That is so if it has an earlier version, and one of both VMs has seen the store
+        lose the present one.
+        """
+        in_force = self._table.in_force
+        version, era = query.get(SETTINGS_FIELD, ""), query.get(ERA_FIELD, "")
+        if in_force is None or not version.isdigit() or not era.isdigit():
+            return {}
+        was_lost = int(era) > era_of(in_force.entry.position)
+        if not was_lost or int(version) >= in_force.version:
+            return {}
+        return {SETTINGS_FIELD: self._row(in_force.entry, START)}
+
     def _suspects(self, query: dict[str, str], now: Milliseconds) -> dict[str, Any]:
         return answer_suspects(self._evidence.quarantine, query, now)
 
@@ -249,7 +337,7 @@
             self._fleet_reports.record_vm_report(query["vm"], report, now)
 
     def _limited_rows(
-        self, entries: Sequence[Entry], position: int
+        self, entries: Sequence[Entry], position: Position
     ) -> Iterator[dict[str, Any]]:
         """Yield rows until the answer has its maximum size; at least one."""
         size = 0
@@ -260,23 +348,27 @@
                 return
             yield row
 
-    def _row(self, entry: Entry, position: int) -> dict[str, Any]:
+    def _row(self, entry: Entry, position: Position) -> dict[str, Any]:
         """Return the row of an entry for a VM that has all changes up to ``position``.
 
         The encoded value or delta is cached for all VMs that have the same version.
         """
-        row: dict[str, Any] = {"key": entry.key, "revision": entry.revision}
+        row: dict[str, Any] = {
+            "key": entry.key,
+            "revision": revision_of(entry.position),
+            ERA_FIELD: era_of(entry.position),
+        }
         if entry.value is None:
             self._content_cache.pop(entry.key, None)
             return row
         base = self._table.version_at(entry.key, position)
-        revisions = (0 if base is None else base.revision, entry.revision)
+        positions = (START if base is None else base.position, entry.position)
         cached = self._content_cache.setdefault(entry.key, {})
-        if any(revision != entry.revision for _, revision in cached):
+        if any(latest != entry.position for _, latest in cached):
             cached.clear()
-        if revisions not in cached:
-            cached[revisions] = _encode_content(entry, base)
-        return row | cached[revisions]
+        if positions not in cached:
+            cached[positions] = _encode_content(entry, base)
+        return row | cached[positions]
 
 
 def _encode_content(entry: Entry, base: Entry | None) -> dict[str, Any]:
@@ -289,7 +381,11 @@
         try:
             delta = make_delta(base.value or b"", value)
             compressed = _compress(json.dumps(delta).encode())
-            return {"base": base.revision, "delta": compressed}
+            return {
+                "base": revision_of(base.position),
+                "base_era": era_of(base.position),
+                "delta": compressed,
+            }
         except UnicodeDecodeError as error:
             log_event("entry_is_no_text", key=entry.key, error=str(error))
     return {"value": _compress(value)}
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -14,7 +14,7 @@
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import Forwarding
 from yuccafold.edge._model import TargetRecord
-from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import Position
 from yuccafold.http import Headers
 
 
@@ -40,41 +40,44 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A key of the store at a revision; a ``value`` of ``None`` means it is removed."""
+    """A key as of its last change; a ``value`` of ``None`` means it is removed."""
 
     key: str
-    revision: int
+    position: Position
     value: bytes | None
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class PlatformState:
-    """All entries; later changes are those after revision ``position``.
+    """All entries; later changes are those after ``position``.
 
     ``age`` is how long ago the store itself confirmed the state.
     """
 
     entries: tuple[Entry, ...]
-    position: int
+    position: Position
     age: Milliseconds = Milliseconds(0)
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class PlatformChanges:
-    """Changes in the order of their revisions, up to revision ``position``.
+    """Changes in the order of their positions, up to ``position``.
 
     ``age`` is how long before the answer the store itself confirmed the state.
     ``in_outage`` says that the source recently failed to read the store.
     ``is_last`` is false if there are more changes after ``position`` already.
+    ``settings`` are what another VM has in force, if they are newer than this VM's
+    and possibly lost by the store.
     """
 
     entries: tuple[Entry, ...]
-    position: int
+    position: Position
     age: Milliseconds = Milliseconds(0)
     in_outage: bool = False
     is_last: bool = True
+    settings: Entry | None = None
 
 
 class PlatformSource(Protocol):
@@ -89,19 +92,15 @@
         """The name of the source in logs and metrics."""
         ...
 
-    @property
-    def era(self) -> StoreEra | None:
-        """The era that the last answer named; ``None`` if none has named one."""
-        ...
-
     async def read_all(self) -> PlatformState:
         """Return the whole current state."""
         ...
 
-    async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
-        """Return the changes after revision ``after``, waiting up to ``wait`` for one.
+    async def changes(self, after: Position, wait: Milliseconds) -> PlatformChanges:
+        """Return the changes after ``after``, waiting up to ``wait`` for one.
 
-        A call with a wait and one without may run at the same time.
+        If the source is in an earlier era than ``after``, there are none. A call with a
+        wait and one without may run at the same time.
         """
         ...
 
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import final
 
@@ -14,6 +15,7 @@
 from yuccafold._log import log_event
 from yuccafold.edge._attempts import with_jitter
 from yuccafold.edge._entries import EntryTable
+from yuccafold.edge._entries import SettingsInForce
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import TargetRecord
@@ -24,6 +26,12 @@
 from yuccafold.edge._platform_source import PlatformSource
 from yuccafold.edge._platform_source import PlatformUnavailableError
 from yuccafold.edge._platform_source import TargetGone
+from yuccafold.edge._positions import FIRST_ERA
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
+from yuccafold.edge._positions import era_of
+from yuccafold.edge._positions import position_of
+from yuccafold.edge._positions import revision_of
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._source_choice import SourceChoice
 from yuccafold.edge._targets import Targets
@@ -67,6 +75,10 @@
 WATCH_TIMEOUT = Milliseconds(20_000)
 """How long a watch waits for a change; the store allows at most 30,000 ms."""
 
+LOST_SETTINGS_TIMEOUT = Milliseconds(200)
+"""How long a VM that starts waits for other VMs once the store has lost changes; they
+answer in a few ms. Calls wait for the first view in the listen backlog anyway."""
+
 NO_WAIT = Milliseconds(0)
 
 BATCH_PAUSE = Milliseconds(120)
@@ -154,6 +166,12 @@
         if not self._settings.reads_platform:
             self._recheck.set()
 
+    def apply_other_settings(self, entry: Entry) -> None:
+        """Apply newer settings of another VM, which the store may have lost."""
+        fact = self._decode(entry)
+        if isinstance(fact, Catalogue) and fact.version > self._view.version:
+            self._apply_settings(fact, entry, self._clock.now())
+
     async def run(self) -> None:
         """Run until cancelled: one task follows changes, another confirms the view."""
         async with trio.open_nursery() as nursery:
@@ -167,11 +185,13 @@
             if not self._follows_store:
                 await trio.sleep(ROLE_POLL_INTERVAL / MS_PER_SECOND)
                 continue
+            list_reads = self._list_reads
             try:
                 with trio.CancelScope() as self._watch:
                     await self._read_changes(self._store, WATCH_TIMEOUT)
             except HistoryLostError as error:
-                self._schedule_list(error)
+                if list_reads == self._list_reads:
+                    self._schedule_list(error)
             except PlatformUnavailableError as error:
                 self._record_failure(self._store, error)
             self._watch = None
@@ -221,10 +241,27 @@
                 continue
             if self._choice.record_success(source):
                 log_event("source_regained", source=source.name)
-            self._first_view.set()
+            if not self._first_view.is_set():
+                await self._ask_for_lost_settings()
+                self._first_view.set()
             return True
         return False
 
+    async def _ask_for_lost_settings(self) -> None:
+        """Ask other VMs for settings that the store lost before this VM started."""
+        if self._table.era <= FIRST_ERA:
+            return
+        with trio.move_on_after(LOST_SETTINGS_TIMEOUT / MS_PER_SECOND):
+            async with trio.open_nursery() as nursery:
+                for peer in self._choice.peers:
+                    nursery.start_soon(self._ask_peer, peer)
+
+    async def _ask_peer(self, peer: PlatformSource) -> None:
+        try:
+            await self._read_changes(peer, NO_WAIT)
+        except PlatformUnavailableError as error:
+            self._record_failure(peer, error)
+
     def _sources(self) -> list[PlatformSource]:
         """Return the sources in the order to try; a list is read from the store first.
 
@@ -238,6 +275,7 @@
     async def _read(self, source: PlatformSource) -> Milliseconds:
         """Apply what is new at ``source``; return the age of its view."""
         started = self._clock.now()
+        known = self._table.position
         if self._needs_list:
             age = await self._read_all(source)
         else:
@@ -246,8 +284,15 @@
                 started = self._clock.now()
                 changes = await self._read_changes(source, NO_WAIT)
             age = changes.age
+            if not self._table.is_complete:
+                self._apply_entries(self._table.remove_lost())
             if source is self._store:
                 self._check_watch(bool(changes.entries))
+            elif changes.position < known:
+                # The other VM has not read yet what this view was confirmed with.
+                if (self._view.age(started) or 0) > self._max_peer_view_age:
+                    self._check_not_earlier(source, changes.position, known)
+                return age
         self._view.confirm(Milliseconds(started - age))
         for target in self._view.forget_gone(started):
             self._targets.forget(target)
@@ -256,22 +301,24 @@
     async def _read_all(self, source: PlatformSource) -> Milliseconds:
         self._count_read(source)
         state = await source.read_all()
+        self._check_not_earlier(source, state.position, known=self._table.position)
         self._list_reads += 1
         self._needs_list = False
-        self._record_era(source)
+        known = self._view.position
+        self._enter_era(source, state.position)
         changed = self._table.apply_list(state.entries, state.position)
+        changed += self._table.remove_lost()
         log_event(
             "list_read",
             source=source.name,
-            era=source.era,
-            revision=state.position,
-            known_revision=self._view.revision,
+            era=era_of(state.position),
+            revision=revision_of(state.position),
+            known_era=era_of(known),
+            known_revision=revision_of(known),
             listed=len(state.entries),
             changed=len(changed),
         )
-        for entry in changed:
-            self._apply_entry(entry)
-        self._view.record_position(self._view.era, self._table.position)
+        self._apply_entries(changed)
         return state.age
 
     async def _read_changes(
@@ -281,34 +328,55 @@
         self._count_read(source)
         list_reads = self._list_reads
         changes = await source.changes(self._table.position, wait)
-        self._record_era(source)
+        if changes.settings is not None:
+            self.apply_other_settings(changes.settings)
+        era_start = position_of(self._table.era, 0)
+        self._check_not_earlier(source, changes.position, known=era_start)
         if list_reads != self._list_reads:
             # The other task read a list meanwhile, which is newer than these changes.
             return replace(changes, entries=())
         if changes.in_outage:
             self._view.record_outage(self._clock.now())
+        self._enter_era(source, changes.position)
         new = self._table.apply_changes(changes.entries, changes.position)
-        for entry in new:
-            self._apply_entry(entry)
-        self._view.record_position(self._view.era, self._table.position)
+        self._apply_entries(new)
         return replace(changes, entries=tuple(new))
 
-    def _record_era(self, source: PlatformSource) -> None:
-        """Record the era that a source named, and log a change of it."""
-        era, known = source.era, self._view.era
-        if era is None or era == known:
+    def _check_not_earlier(
+        self, source: PlatformSource, position: Position, known: Position
+    ) -> None:
+        """Raise ``PlatformUnavailableError`` if a source is in an earlier state."""
+        if position >= known:
             return
-        log_event(
-            "store_era_changed",
-            source=source.name,
-            era=era,
-            was=known,
-            revision=self._view.revision,
-            version=self._view.version,
-            view_age_ms=self._view.age(self._clock.now()),
+        self._metrics.count("earlier_states", source=source.name)
+        raise PlatformUnavailableError(
+            f"has revision {revision_of(position)} of era {era_of(position)}, "
+            f"expected {revision_of(known)} of era {era_of(known)} or later"
         )
-        self._metrics.count("store_era_changes")
-        self._view.record_position(era, self._view.revision)
+
+    def _enter_era(self, source: PlatformSource, position: Position) -> None:
+        """Prepare for entries of a later era than before, if ``position`` is in one."""
+        known, era = self._table.position, era_of(position)
+        if era == era_of(known):
+            return
+        now = self._clock.now()
+        if known != START:
+            self._metrics.count("store_era_changes")
+            log_event(
+                "store_era_changed",
+                source=source.name,
+                era=era,
+                revision=revision_of(position),
+                was=era_of(known),
+                was_revision=revision_of(known),
+                version=self._view.version,
+                view_age_ms=self._view.age(now),
+            )
+        self._table.begin_era()
+        self._view.begin_era(era, now)
+        if self._watch is not None:
+            # It waits for revisions of the earlier era.
+            self._watch.cancel()
 
     def _check_watch(self, missed_changes: bool) -> None:
         """Replace a watch that didn't report changes that the last confirmation found.
@@ -355,25 +423,46 @@
         kind = "store" if source is self._store else "peer"
         self._metrics.count("platform_reads", source=kind)
 
+    def _apply_entries(self, entries: Iterable[Entry]) -> None:
+        """Apply entries that are new to the view."""
+        for entry in entries:
+            self._apply_entry(entry)
+        self._view.record_position(self._table.position)
+
     def _apply_entry(self, entry: Entry) -> None:
         """Apply one entry to the view."""
         now = self._clock.now()
         fact = self._decode(entry)
         if isinstance(fact, Catalogue):
-            if self._view.apply(fact):
-                log_event(
-                    "settings_in_force",
-                    version=fact.version,
-                    revision=entry.revision,
-                    routes=len(fact.routes),
-                    view_age_ms=self._view.age(now),
-                )
+            self._apply_settings(fact, entry, now)
         elif isinstance(fact, TargetGone):
             if self._view.remove_target(fact.id, now):
-                log_event("target_gone", target=fact.id, revision=entry.revision)
+                log_event(
+                    "target_gone", target=fact.id, revision=revision_of(entry.position)
+                )
         elif isinstance(fact, TargetRecord):
             self._apply_target(fact, entry, now)
 
+    def _apply_settings(
+        self, catalogue: Catalogue, entry: Entry, now: Milliseconds
+    ) -> None:
+        """Put a configuration in force, unless a newer one was in force before."""
+        is_known = self._view.is_in_force(catalogue)
+        is_in_force = self._view.apply(catalogue)
+        if is_in_force:
+            self._table.put_in_force(SettingsInForce(catalogue.version, entry))
+        if is_known:
+            return
+        log_event(
+            "settings_in_force" if is_in_force else "settings_kept",
+            version=self._view.version,
+            listed=catalogue.version,
+            era=era_of(entry.position),
+            revision=revision_of(entry.position),
+            routes=len(catalogue.routes),
+            view_age_ms=self._view.age(now),
+        )
+
     def _apply_target(
         self, record: TargetRecord, entry: Entry, now: Milliseconds
     ) -> None:
@@ -389,7 +478,8 @@
             address=record.address,
             state=record.state.value,
             born_ms=record.born_ms,
-            revision=entry.revision,
+            revision=revision_of(entry.position),
+            held_since=self._view.held_since(record.id),
         )
 
 
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -28,6 +28,7 @@
 from yuccafold.edge._platform_source import Decode
 from yuccafold.edge._platform_source import PlatformSource
 from yuccafold.edge._platform_source import PlatformUnavailableError
+from yuccafold.edge._positions import revision_of
 from yuccafold.edge._reader import ViewReader
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._settings import SocketAddress
@@ -91,7 +92,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = EdgeMetrics()
-        self._view = PlatformView(settings.drain_within)
+        self._view = PlatformView(settings.drain_within, settings.heartbeat_interval)
         self._targets = Targets(self._view, settings, rng)
         self._gate = Gate(self._view, settings, rng)
         self._pool = ConnectionPool(clock)
@@ -285,8 +286,9 @@
         targets, leaving = self._view.counts()
         self._metrics.set_gauge("connections", len(self._callers))
         self._metrics.set_gauge("settings_version", self._view.version)
-        self._metrics.set_gauge("store_era", self._view.era or 0)
-        self._metrics.set_gauge("store_revision", self._view.revision)
+        self._metrics.set_gauge("store_era", self._view.era)
+        revision = revision_of(self._view.position)
+        self._metrics.set_gauge("store_revision", revision)
         self._metrics.set_gauge("view_age_ms", self._view.age(self._clock.now()) or 0)
         self._metrics.set_gauge("vms", self._targets.evidence.loads.vm_count)
         self._metrics.set_gauge("targets", targets)
@@ -322,6 +324,8 @@
             self._metrics.count("report_failures", seed=seed)
             return
         self._fleet_reports.record_seed_report(str(seed), report, self._clock.now())
+        if peer.newer_settings is not None:
+            self._reader.apply_other_settings(peer.newer_settings)
 
     async def _sweep_pool(self) -> None:
         while True:
--- a/src/yuccafold/edge/_settings.py
+++ b/src/yuccafold/edge/_settings.py
@@ -47,6 +47,7 @@
     as a multiple of the mean. ``peers`` is the address at which other VMs request the
     view of this VM; ``seeds`` are the addresses of the VMs to request views from.
     ``exempt_parts`` are prompt parts that are never quarantined.
+    ``heartbeat_interval`` is how often targets write to the store.
     """
 
     vm: VmId
@@ -66,6 +67,7 @@
     peers: SocketAddress | None = None
     seeds: tuple[SocketAddress, ...] = ()
     exempt_parts: frozenset[PartId] = frozenset()
+    heartbeat_interval: Milliseconds = Milliseconds(1_200)
 
     @property
     def reads_platform(self) -> bool:
--- a/src/yuccafold/edge/_source_choice.py
+++ b/src/yuccafold/edge/_source_choice.py
@@ -44,8 +44,14 @@
             store,
             *shuffled[peers_before_store:],
         ]
+        self._peers = tuple(shuffled)
         self._failed_at: dict[str, Milliseconds] = {}
 
+    @property
+    def peers(self) -> tuple[PlatformSource, ...]:
+        """The other VMs that views are requested from."""
+        return self._peers
+
     def order(self, now: Milliseconds) -> list[PlatformSource]:
         """Return the sources to try, those that failed recently last."""
         return sorted(
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import final
 
 from yuccafold._clock import Milliseconds
@@ -11,7 +12,12 @@
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
+from yuccafold.edge._positions import FIRST_ERA
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
 from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import era_of
+from yuccafold.edge._positions import position_of
 
 EXPIRED_ENTRY_GRACE = Milliseconds(2_000)
 """How long entries that expired in an outage of the platform take to come back."""
@@ -22,6 +28,16 @@
 GONE_TARGET_RETENTION = Milliseconds(10_000)
 """How long a target that has left is kept, as prompts may be fetched from it."""
 
+DEPARTURE_RETENTION = Milliseconds(60_000)
+"""How long it is remembered that a target has left. The store may come back from a copy
+some seconds old, which still lists the target."""
+
+DEFAULT_HEARTBEAT_INTERVAL = Milliseconds(1_200)
+"""How often targets write to the store, if the settings don't say."""
+
+LAPSE_HEARTBEATS = 3
+"""The entry of a target that is gone is removed after this many heartbeat intervals."""
+
 
 @final
 @dataclass(slots=True)
@@ -30,13 +46,31 @@
 
     ``leaving_since`` is set once the target drains or its entry is removed.
     ``expired`` is set if the entry was removed during an outage of the platform,
-    when entries may expire although their targets still run.
+    when entries may expire although their targets still run. ``unconfirmed_until`` is
+    set if the target had left before the store came back from an older copy: until
+    then, its entry may be one that the store has not removed again yet.
     """
 
     record: TargetRecord
     first_seen_at: Milliseconds
     leaving_since: Milliseconds | None = None
     expired: bool = False
+    unconfirmed_until: Milliseconds | None = None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """That a start of a target left, in which era of the store, and how.
+
+    ``drains`` is set if the target itself reported it, which it never takes back. Its
+    entry may also have been removed while it lost touch with the store.
+    """
+
+    born_ms: int
+    era: StoreEra
+    at: Milliseconds
+    drains: bool
 
 
 @final
@@ -46,18 +80,31 @@
     The catalogue's version only increases. The view is confirmed by a read of the
     whole state or by an answer that nothing has changed; its age counts from the
     start of that call. ``drain_within`` is the drain bound: how soon a leaving target
-    must get no more calls.
+    must get no more calls. ``heartbeat_interval`` is how often targets write to the
+    store.
+
+    When the store comes back from an older copy, it lacks changes that this VM has
+    seen. Settings stay in force until newer ones are written, and targets that have
+    left get no calls although the copy lists them.
     """
 
-    def __init__(self, drain_within: Milliseconds) -> None:
+    def __init__(
+        self,
+        drain_within: Milliseconds,
+        heartbeat_interval: Milliseconds = DEFAULT_HEARTBEAT_INTERVAL,
+    ) -> None:
         self._drain_within = drain_within
+        self._lapse_time = Milliseconds(
+            LAPSE_HEARTBEATS * heartbeat_interval + EXPIRED_ENTRY_GRACE
+        )
         self._catalogue: Catalogue | None = None
         self._targets: dict[TargetId, KnownTarget] = {}
         self._by_service: dict[ServiceId, list[KnownTarget]] = {}
         self._confirmed_at: Milliseconds | None = None
         self._outage_until = Milliseconds(0)
-        self._era: StoreEra | None = None
-        self._revision = 0
+        self._position = START
+        self._era_began_at: Milliseconds | None = None
+        self._departures: dict[TargetId, Departure] = {}
 
     @property
     def catalogue(self) -> Catalogue | None:
@@ -70,18 +117,35 @@
         return 0 if self._catalogue is None else self._catalogue.version
 
     @property
-    def era(self) -> StoreEra | None:
-        """The era of the store that was read last; ``None`` if it names none."""
-        return self._era
+    def position(self) -> Position:
+        """The state of the store up to which all changes are known."""
+        return self._position
 
     @property
-    def revision(self) -> int:
-        """The revision of the store up to which all changes are known."""
-        return self._revision
+    def era(self) -> StoreEra:
+        """The era of the store that the view was read from."""
+        return era_of(self._position)
 
-    def record_position(self, era: StoreEra | None, revision: int) -> None:
+    def record_position(self, position: Position) -> None:
         """Record up to which state of the store this VM has read."""
-        self._era, self._revision = era, revision
+        self._position = position
+
+    def begin_era(self, era: StoreEra, now: Milliseconds) -> None:
+        """Record that the store came back from an older copy.
+
+        It lacks what was written since, until that is written again.
+        """
+        if self._position != START or era > FIRST_ERA:
+            self._era_began_at = now
+            self.record_outage(now)
+        self._position = position_of(era, 0)
+
+    def may_lack_settings(self, now: Milliseconds, within: Milliseconds) -> bool:
+        """Return whether the store came back from an older copy ``within`` this time.
+
+        Settings that it acknowledged before may not be written again yet.
+        """
+        return self._era_began_at is not None and now - self._era_began_at < within
 
     def age(self, now: Milliseconds) -> Milliseconds | None:
         """Return the time since the view was confirmed, ``None`` if it never was."""
@@ -103,12 +167,20 @@
         return now < self._outage_until
 
     def apply(self, catalogue: Catalogue) -> bool:
-        """Apply ``catalogue`` if its version is newer; return whether it was."""
-        if self._catalogue is not None and catalogue.version <= self.version:
+        """Apply a catalogue that was written later; return whether it is in force.
+
+        An older version is not applied. The same version may be written again with
+        another content, after the store has lost the first one.
+        """
+        if catalogue.version < self.version:
             return False
         self._catalogue = catalogue
         return True
 
+    def is_in_force(self, catalogue: Catalogue) -> bool:
+        """Return whether ``catalogue`` has the version and content in force."""
+        return catalogue == self._catalogue
+
     def put_target(self, record: TargetRecord, now: Milliseconds) -> bool:
         """Store a target's record; return whether that changed anything.
 
@@ -125,8 +197,11 @@
             was_leaving = known is not None and not known.expired
             leaving_since = known.leaving_since if known and was_leaving else None
             leaving_since = now if leaving_since is None else leaving_since
+            self._record_departure(record, leaving_since, drains=True)
         changed = known is None or known.record != record or known.expired
-        self._targets[record.id] = KnownTarget(record, first_seen_at, leaving_since)
+        entry = KnownTarget(record, first_seen_at, leaving_since)
+        changed |= self._hold_departure(entry, now)
+        self._targets[record.id] = entry
         self._rebuild_index()
         return changed
 
@@ -140,14 +215,55 @@
             known.leaving_since = (
                 self._last_confirmed_present(now) if known.expired else now
             )
+            if not known.expired:
+                self._record_departure(known.record, now, drains=False)
         self._rebuild_index()
         return True
 
+    def _record_departure(
+        self, record: TargetRecord, at: Milliseconds, drains: bool
+    ) -> None:
+        self._departures[record.id] = Departure(record.born_ms, self.era, at, drains)
+
+    def _hold_departure(self, entry: KnownTarget, now: Milliseconds) -> bool:
+        """Keep calls from a target that left before the store came back older.
+
+        Returns whether it is such a target. Only the first entry that is read in an era
+        may be the copy's; later ones were written by the target itself.
+        """
+        departure = self._departures.get(entry.record.id)
+        if (
+            departure is None
+            or entry.leaving_since is not None
+            or departure.born_ms != entry.record.born_ms
+            or departure.era == self.era
+        ):
+            return False
+        self._departures[entry.record.id] = replace(departure, era=self.era)
+        if departure.drains:
+            entry.leaving_since = departure.at
+        else:
+            began_at = now if self._era_began_at is None else self._era_began_at
+            entry.unconfirmed_until = Milliseconds(began_at + self._lapse_time)
+        return True
+
     def born_ms(self, target: TargetId) -> int | None:
         """Return the Unix time of a target's start, ``None`` for an unknown target."""
         known = self._targets.get(target)
         return None if known is None else known.record.born_ms
 
+    def held_since(self, target: TargetId) -> Milliseconds | None:
+        """Return since when a target that is listed as ready has left, if it has.
+
+        It left before the store came back from a copy that still lists it.
+        """
+        known = self._targets.get(target)
+        if known is None or known.record.state is not TargetState.READY:
+            return None
+        departure = self._departures.get(target)
+        is_held = known.leaving_since is not None or known.unconfirmed_until is not None
+        return departure.at if departure is not None and is_held else None
+
     def ready(self, service: ServiceId, now: Milliseconds) -> list[KnownTarget]:
         """Return the targets that may get new calls.
 
@@ -158,8 +274,11 @@
         return [
             known
             for known in self._by_service.get(service, ())
-            if known.leaving_since is None
-            or (known.expired and now - known.leaving_since < usable_ms)
+            if (
+                known.leaving_since is None
+                or (known.expired and now - known.leaving_since < usable_ms)
+            )
+            and (known.unconfirmed_until is None or now >= known.unconfirmed_until)
         ]
 
     def may_send(self, target: TargetRecord, now: Milliseconds) -> bool:
@@ -188,6 +307,11 @@
             del self._targets[target]
         if gone:
             self._rebuild_index()
+        self._departures = {
+            target: departure
+            for target, departure in self._departures.items()
+            if now - departure.at < DEPARTURE_RETENTION
+        }
         return gone
 
     def counts(self) -> tuple[int, int]:
--- a/src/yuccafold/platform/_settings.py
+++ b/src/yuccafold/platform/_settings.py
@@ -16,6 +16,9 @@
 SETTINGS_VARIABLE = "YUCCAFOLD_SETTINGS"
 """Environment variable that holds the path of the settings file."""
 
+DEFAULT_HEARTBEAT_INTERVAL_MS = "1200"
+"""How often targets write to the store, if the platform doesn't say."""
+
 Value = TypeVar("Value")
 
 
@@ -27,11 +30,14 @@
     lines = (line.partition("=") for line in text.splitlines() if "=" in line)
     fields = {name.strip(): value.strip() for name, _, value in lines}
 
-    def read(name: str, convert: Callable[[str], Value]) -> Value:
-        if name not in fields:
+    def read(
+        name: str, convert: Callable[[str], Value], default: str | None = None
+    ) -> Value:
+        text = fields.get(name, default)
+        if text is None:
             raise ValueError(f"{name}: expected a value, got none")
         try:
-            return convert(fields[name])
+            return convert(text)
         except ValueError as error:
             raise ValueError(f"{name}: {error}") from error
 
@@ -53,6 +59,9 @@
         load_multiple=read("bounds.cap_x", float),
         metrics_port=metrics_port,
         exempt_parts=_parse_parts(fields.get("quarantine.exempt_parts", "")),
+        heartbeat_interval=read(
+            "heartbeat_interval_ms", _parse_milliseconds, DEFAULT_HEARTBEAT_INTERVAL_MS
+        ),
     )
 
 
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -12,15 +12,21 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
+from yuccafold.edge import MAX_REVISION
+from yuccafold.edge import NO_ERA
 from yuccafold.edge import Entry
 from yuccafold.edge import HistoryLostError
 from yuccafold.edge import PlatformChanges
 from yuccafold.edge import PlatformFact
 from yuccafold.edge import PlatformState
 from yuccafold.edge import PlatformUnavailableError
+from yuccafold.edge import Position
 from yuccafold.edge import SocketAddress
 from yuccafold.edge import StoreEra
 from yuccafold.edge import TargetGone
+from yuccafold.edge import era_of
+from yuccafold.edge import position_of
+from yuccafold.edge import revision_of
 from yuccafold.http import CallFailedError
 from yuccafold.http import CallTimeouts
 from yuccafold.http import Headers
@@ -64,52 +70,58 @@
         self._watch_connection = PersistentConnection(
             address.host, address.port, timeouts
         )
-        self._era: StoreEra | None = None
+        self._era = NO_ERA
 
     @property
     def name(self) -> str:
         """The name of the source in logs and metrics."""
         return "store"
 
-    @property
-    def era(self) -> StoreEra | None:
-        """The era that the last answer named; ``None`` if none has named one."""
-        return self._era
-
     async def read_all(self) -> PlatformState:
         """Return the whole current state.
 
         The pages are read one after the other, and entries may change between them.
-        So the position is the revision of the first page: changes after it are read
-        again.
+        So the position is that of the first page: changes after it are read again.
+        Raises ``HistoryLostError`` if the store comes back from a copy meanwhile.
         """
         entries: list[Entry] = []
-        first_revision: int | None = None
+        first_position: Position | None = None
         after = ""
         while True:
             query = {"prefix": ALL_KEYS_PREFIX} | ({"after": after} if after else {})
-            page = await self._get(self._read_connection, "/-/kv-range", query)
-            first_revision = (
-                _store_revision(page) if first_revision is None else first_revision
-            )
-            listed = [_entry(item) for item in _items(page, "items")]
+            page, era = await self._get(self._read_connection, "/-/kv-range", query)
+            position = position_of(era, _store_revision(page))
+            first_position = position if first_position is None else first_position
+            if era != era_of(first_position):
+                raise HistoryLostError(f"store is in era {era} within a list")
+            listed = [_entry(item, era) for item in _items(page, "items")]
             entries += listed
             if page.get("more_pages") is not True or not listed:
                 break
             after = listed[-1].key
-        return PlatformState(tuple(entries), first_revision)
+        return PlatformState(tuple(entries), first_position)
 
-    async def changes(self, after: int, wait: Milliseconds) -> PlatformChanges:
-        """Return the changes after revision ``after``.
+    async def changes(self, after: Position, wait: Milliseconds) -> PlatformChanges:
+        """Return the changes after ``after``.
 
         Requests that wait use a connection of their own, so that they don't delay
-        others.
+        others. Revisions of another era are those of other changes, so the state must
+        be read again when the store is in a later one.
         """
-        query = {"prefix": ALL_KEYS_PREFIX, "after": after, "wait_ms": wait}
+        query = {
+            "prefix": ALL_KEYS_PREFIX,
+            "after": revision_of(after),
+            "wait_ms": wait,
+        }
         connection = self._watch_connection if wait else self._read_connection
-        answer = await self._get(connection, "/-/kv-watch", query, wait)
-        entries = tuple(_entry(item) for item in _items(answer, "events"))
-        return PlatformChanges(entries, max(after, _store_revision(answer)))
+        answer, era = await self._get(connection, "/-/kv-watch", query, wait)
+        if era > era_of(after):
+            raise HistoryLostError(f"store is in era {era}, expected {era_of(after)}")
+        position = position_of(era, _store_revision(answer))
+        if era < era_of(after):
+            return PlatformChanges((), position)
+        entries = tuple(_entry(item, era) for item in _items(answer, "events"))
+        return PlatformChanges(entries, max(after, position))
 
     async def close(self) -> None:
         """Close the connections to the store."""
@@ -122,21 +134,27 @@
         path: str,
         query: dict[str, object],
         wait: Milliseconds = Milliseconds(0),
-    ) -> JsonObject:
-        """Return the JSON object of a successful answer."""
+    ) -> tuple[JsonObject, StoreEra]:
+        """Return the JSON object of a successful answer, and the era of the store.
+
+        An answer that names no era belongs to the one that was named last.
+        """
         try:
             answer = await connection.get(f"{path}?{urlencode(query)}", wait)
         except CallFailedError as error:
             raise PlatformUnavailableError(str(error)) from error
-        self._era = _parse_era(answer.headers) or self._era
+        named_era = _parse_era(answer.headers)
+        era = self._era if named_era is None else named_era
         if answer.status == GONE_STATUS:
             raise HistoryLostError(f"status {answer.status} for {path}")
         if answer.status != 200:
             raise PlatformUnavailableError(f"status {answer.status} for {path}")
         try:
-            return parse_object(answer.body)
+            value = parse_object(answer.body)
         except ValueError as error:
             raise PlatformUnavailableError(str(error)) from error
+        self._era = max(self._era, era)
+        return value, era
 
 
 def _parse_era(headers: Headers) -> StoreEra | None:
@@ -152,7 +170,16 @@
 
 def _store_revision(answer: JsonObject) -> int:
     """Return the revision of the store at the time of its answer."""
-    return _required_field(answer, "as_of", int)
+    return _revision(answer, "as_of")
+
+
+def _revision(source: JsonObject, name: str) -> int:
+    """Return a revision; raises ``PlatformUnavailableError`` if it can't be one."""
+    revision = _required_field(source, name, int)
+    if not 0 <= revision <= MAX_REVISION:
+        detail = f"{name}: expected 0 to {MAX_REVISION}, got {revision}"
+        raise PlatformUnavailableError(f"malformed answer: {detail}")
+    return revision
 
 
 def _items(answer: JsonObject, name: str) -> list[JsonObject]:
@@ -168,17 +195,18 @@
         raise PlatformUnavailableError(f"malformed answer: {error}") from error
 
 
-def _entry(item: JsonObject) -> Entry:
+def _entry(item: JsonObject, era: StoreEra) -> Entry:
     key = _required_field(item, "key", str)
-    revision = _required_field(item, "revision", int)
+    revision = _revision(item, "revision")
+    position = position_of(era, revision)
     if item.get("removed") is True:
-        return Entry(key, revision, None)
+        return Entry(key, position, None)
     try:
         value = base64.b64decode(_required_field(item, "value", str), validate=True)
     except (binascii.Error, ValueError) as error:
         log_event("entry_unreadable", key=key, revision=revision, error=str(error))
         value = None
-    return Entry(key, revision, value)
+    return Entry(key, position, value)
 
 
 def decode(entry: Entry) -> PlatformFact | None:
@@ -191,7 +219,10 @@
         return _fact(entry)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         log_event(
-            "entry_malformed", key=entry.key, revision=entry.revision, error=str(error)
+            "entry_malformed",
+            key=entry.key,
+            revision=revision_of(entry.position),
+            error=str(error),
         )
         return _target_gone(entry)
 
--- a/testing/edge/test_entries.py
+++ b/testing/edge/test_entries.py
@@ -74,7 +74,7 @@
     in_order, out_of_order, caught_up = EntryTable(), EntryTable(), EntryTable()
     in_order.apply_changes(changes, len(changes))
     for change in shuffled:
-        out_of_order.apply_changes([change], change.revision)
+        out_of_order.apply_changes([change], change.position)
     half = len(changes) // 2
     caught_up.apply_changes(changes[:half], half)
     caught_up.apply_changes(in_order.changes_since(half), len(changes))
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -20,6 +20,7 @@
 from yuccafold.edge import TargetGone
 from yuccafold.edge import TargetRecord
 from yuccafold.edge import TargetState
+from yuccafold.edge import era_of
 from yuccafold.http import Listener
 from yuccafold.platform import StoreSource
 from yuccafold.platform import decode
@@ -272,15 +273,15 @@
 
 
 @pytest.mark.parametrize(
-    ("named", "era"), [(None, None), (1, 1), ("x", None), ("-1", None), ("", None)]
+    ("named", "era"), [(None, 0), (1, 1), (7, 7), ("x", 0), ("-1", 0), ("", 0)]
 )
 def test_era_of_the_store_is_parsed(named, era):
     @on_trio
     async def run():
         async with store_with() as (store, source):
             store.era = named
-            await source.read_all()
-            assert source.era == era
+            state = await source.read_all()
+            assert era_of(state.position) == era
 
     run()
 
