Send no calls to targets that say they leave

Cause: that a target leaves was read from its entry in the store only. Its answers say so too, by a header that nothing read, and some targets never write it to the store.

Its idle connections are closed. Other VMs are told for five seconds, with the age of the notice and the start that it is about; a later start at the same address or id begins clean.

Why it works: all ways to a target go through PlatformView.ready, which passes over those with a notice.

--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -238,7 +238,8 @@
         state = http.protocol
         is_complete = state.our_state is h11.DONE and state.their_state is h11.DONE
         keep_for = self._idle_timeout - IDLE_TIMEOUT_MARGIN
-        if not is_complete or state.trailing_data[0] or keep_for <= 0:
+        is_leaving = self._facts is not None and self._facts.leaving
+        if not is_complete or is_leaving or state.trailing_data[0] or keep_for <= 0:
             await http.close()
             return
         state.start_next_cycle()
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -200,7 +200,7 @@
             self._log_failure(call, exchange, error, record, crashed)
             outcome = _outcome_of(error.failure)
             if error.failure is Failure.REFUSED and exchange.facts is not None:
-                self._record_leaving(call, target, exchange.facts)
+                await self._record_leaving(call, target, exchange.facts)
                 self._targets.record_limit(
                     target.id, exchange.facts.limit, self._clock.now()
                 )
@@ -219,13 +219,19 @@
             with trio.CancelScope(shield=True):
                 await exchange.close()
 
-    def _record_leaving(
+    async def _record_leaving(
         self, call: Call, target: TargetRecord, facts: AnswerFacts
     ) -> None:
-        """Record whether an answer of ``target`` said that it is about to stop."""
-        if facts.leaving:
-            self._metrics.count("answers_of_leaving_targets", service=target.service)
-            self._targets.record_leaving(target, call, self._clock.now())
+        """Record whether an answer of ``target`` said that it is about to stop.
+
+        Other VMs are told at once, and idle connections to it are closed.
+        """
+        if not facts.leaving:
+            return
+        self._metrics.count("answers_of_leaving_targets", service=target.service)
+        if self._targets.record_leaving(target, call, self._clock.now()):
+            self._report_soon()
+            await self._pool.discard(target.address)
 
     async def _check_crash(
         self, call: Call, exchange: Exchange, target: TargetRecord, failure: Failure
@@ -308,7 +314,7 @@
         headers = self._translator.target_headers(call.headers, forwarding)
         await exchange.send(headers)
         head, facts = await self._receive_head(call, target, exchange, relay, record)
-        self._record_leaving(call, target, facts)
+        await self._record_leaving(call, target, facts)
         self._targets.record_prompt(call, target.id, self._clock.now())
         self._metrics.record_duration(
             "first_byte_ms", self._clock.now() - now, call.service
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -18,8 +18,6 @@
 from yuccafold.edge._health import PROMPT_LIMITS
 from yuccafold.edge._health import Outcome
 from yuccafold.edge._health import TargetHealth
-from yuccafold.edge._leaving import LeavingNotice
-from yuccafold.edge._leaving import LeavingTargets
 from yuccafold.edge._model import Repeatability
 from yuccafold.edge._model import TargetLoad
 from yuccafold.edge._model import TargetRecord
@@ -50,8 +48,8 @@
         self._evidence = TargetEvidence(
             limits=TargetLimits(rng),
             quarantine=Quarantine(quarantine_settings(settings, self._epoch)),
+            leaving=view.leaving,
         )
-        self._leaving = LeavingTargets()
         self._holders = HolderMemory()
         self._prompt_placement = PromptPlacement(
             self._evidence.loads, self._holders, settings.load_multiple, rng
@@ -192,23 +190,18 @@
 
     def record_leaving(
         self, target: TargetRecord, call: Call, now: Milliseconds
-    ) -> None:
-        """Record that ``target`` said in its answer to ``call`` that it leaves."""
-        notice = LeavingNotice(target.born_ms, now)
-        if self._leaving.record(target.id, notice):
-            log_event(
-                "target_says_leaving",
-                call=call.head.id,
-                target=target.id,
-                born_ms=target.born_ms,
-                service=target.service,
-            )
+    ) -> bool:
+        """Record that ``target`` said in its answer to ``call`` that it leaves.
+
+        Returns whether it had not said so before.
+        """
+        return self._evidence.leaving.record_answer(target, call.head.id, now)
 
     def leaving_age(
         self, target: TargetRecord, now: Milliseconds
     ) -> Milliseconds | None:
         """Return for how long ``target`` is known to leave by its own answers."""
-        return self._leaving.age(target.id, target.born_ms, now)
+        return self._evidence.leaving.age(target, now)
 
     def record_load(
         self, target: TargetId, load: TargetLoad, now: Milliseconds
@@ -222,5 +215,4 @@
         self._evidence.loads.forget(target)
         self._evidence.outcomes.forget(target)
         self._evidence.limits.forget(target)
-        self._leaving.forget(target)
         self._holders.forget_target(target)
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -9,6 +9,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
+from yuccafold.edge._leaving import LeavingTargets
 from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
@@ -105,12 +106,18 @@
         self._position = START
         self._era_began_at: Milliseconds | None = None
         self._departures: dict[TargetId, Departure] = {}
+        self._leaving = LeavingTargets()
 
     @property
     def catalogue(self) -> Catalogue | None:
         """The catalogue in force."""
         return self._catalogue
 
+    @property
+    def leaving(self) -> LeavingTargets:
+        """The targets that said in their answers that they are about to stop."""
+        return self._leaving
+
     @property
     def version(self) -> int:
         """The version of the catalogue in force; 0 before the first."""
@@ -265,7 +272,7 @@
         return departure.at if departure is not None and is_held else None
 
     def ready(self, service: ServiceId, now: Milliseconds) -> list[KnownTarget]:
-        """Return the targets that may get new calls.
+        """Return the targets that may get new calls, none that is known to leave.
 
         A target whose entry expired in an outage may still run or may be leaving, so
         it gets calls until shortly before the drain bound.
@@ -279,6 +286,7 @@
                 or (known.expired and now - known.leaving_since < usable_ms)
             )
             and (known.unconfirmed_until is None or now >= known.unconfirmed_until)
+            and not self._leaving.is_leaving(known.record)
         ]
 
     def may_send(self, target: TargetRecord, now: Milliseconds) -> bool:
@@ -317,7 +325,8 @@
     def counts(self) -> tuple[int, int]:
         """Return the number of known targets and how many of them are leaving."""
         leaving = sum(
-            known.leaving_since is not None for known in self._targets.values()
+            known.leaving_since is not None or self._leaving.is_leaving(known.record)
+            for known in self._targets.values()
         )
         return len(self._targets), leaving
 
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -19,6 +19,11 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
+from yuccafold.edge._leaving import LeavingNotices
+from yuccafold.edge._leaving import LeavingTargets
+from yuccafold.edge._leaving import format_leaving
+from yuccafold.edge._leaving import latest_notices
+from yuccafold.edge._leaving import parse_leaving
 from yuccafold.edge._outcomes import OutcomeTable
 from yuccafold.edge._outcomes import RecentOutcomes
 from yuccafold.edge._outcomes import add_outcomes
@@ -54,7 +59,8 @@
     """Running calls and recent outcomes by target, of one VM or of ``vms`` VMs.
 
     ``limits`` are what targets last said of their limits, and ``demand`` the calls a
-    second that VMs want to send to limited ones.
+    second that VMs want to send to limited ones. ``leaving`` are the targets that
+    lately said that they are about to stop.
     """
 
     calls: Mapping[TargetId, int] = field(default_factory=dict)
@@ -62,6 +68,7 @@
     vms: int = 1
     limits: LimitNotices = field(default_factory=dict)
     demand: LimitDemand = field(default_factory=dict)
+    leaving: LeavingNotices = field(default_factory=dict)
 
     def as_fields(self, now: Milliseconds = Milliseconds(0)) -> dict[str, Any]:
         """Return the report as fields of a request or an answer made at ``now``.
@@ -77,6 +84,7 @@
             "vms": self.vms,
             "limits": format_notices(self.limits, now),
             "demand": format_demand(self.demand),
+            "leaving": format_leaving(self.leaving, now),
         }
 
     @classmethod
@@ -95,6 +103,7 @@
             vms=int(fields.get("vms", 1)),
             limits=parse_notices(str(fields.get("limits", "")), now),
             demand=parse_demand(str(fields.get("demand", ""))),
+            leaving=parse_leaving(str(fields.get("leaving", "")), now),
         )
 
 
@@ -111,6 +120,7 @@
         sum(report.vms for report in all_reports),
         newest_notices(report.limits for report in all_reports),
         add_demand(report.demand for report in all_reports),
+        latest_notices(report.leaving for report in all_reports),
     )
 
 
@@ -175,12 +185,13 @@
 @final
 @dataclass(frozen=True, slots=True)
 class TargetEvidence:
-    """What VMs tell each other: load and outcomes of targets, and suspect calls."""
+    """What VMs tell each other of targets and of suspect calls."""
 
     loads: LoadTable = field(default_factory=LoadTable)
     outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
     limits: TargetLimits = field(default_factory=lambda: TargetLimits(random.Random(0)))
     quarantine: Quarantine = field(default_factory=Quarantine)
+    leaving: LeavingTargets = field(default_factory=LeavingTargets)
 
     def local_report(self, now: Milliseconds) -> VmReport:
         """Return the report of this VM for the seeds."""
@@ -189,6 +200,7 @@
             self.outcomes.local_outcomes(now),
             limits=self.limits.local_notices(now),
             demand=self.limits.local_demand(now),
+            leaving=self.leaving.local_notices(now),
         )
 
     def record_fleet_report(
@@ -212,3 +224,4 @@
             total.limits, total.demand, local_part.demand, total.vms, now
         )
         self.outcomes.record_fleet_report(total.outcomes, local_part.outcomes, now)
+        self.leaving.record_told(total.leaving, now)
