Log the software version of targets and what a stream resumes

What callers saw: streams with events of two software versions.

What was missing: neither the version of the target that a call was placed on nor the stream that a caller takes up was in any log line, so a stream that goes on at another version looked like any other.

Change: the version in a target's entry and the headers Resumes and Last-Event-Id of a call are decoded; call_placed and target_listed name them. Nothing is decided by them yet.

--- a/src/yuccafold/edge/__init__.py
+++ b/src/yuccafold/edge/__init__.py
@@ -19,6 +19,7 @@
 from yuccafold.edge._model import Route
 from yuccafold.edge._model import RouteName
 from yuccafold.edge._model import ServiceSpec
+from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetLoad
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
@@ -72,6 +73,7 @@
     "RouteName",
     "ServiceSpec",
     "SocketAddress",
+    "SoftwareVersion",
     "StoreEra",
     "TargetGone",
     "TargetLoad",
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -191,7 +191,7 @@
         try:
             await exchange.open(self._max_idle_time(call))
             self._check_target(call, placement)
-            self._log_placement(call, placement, exchange.idle_time)
+            self._log_placement(call, placement, exchange.idle_time, relay.resume_after)
             await self._send_and_relay(call, placement, exchange, relay, record)
             outcome = Outcome.GOOD
         except AttemptFailedError as error:
@@ -357,7 +357,11 @@
         return await exchange.receive_head()
 
     def _log_placement(
-        self, call: Call, placement: Placement, idle_time: Milliseconds | None
+        self,
+        call: Call,
+        placement: Placement,
+        idle_time: Milliseconds | None,
+        resume_after: str | None,
     ) -> None:
         source = placement.fetch_from
         log_event(
@@ -369,6 +373,9 @@
             prompt=call.head.shared_parts[-1].id if call.head.shared_parts else None,
             parts=shown_parts(call),
             fetch=None if source is None else source.record.id,
+            software=placement.target.record.software,
+            resumes=call.head.resumes,
+            resume_after=resume_after or call.head.resume_after,
             rested_ms=idle_time,
             leaving_ms=self._targets.leaving_age(
                 placement.target.record, self._clock.now()
--- a/src/yuccafold/edge/_model.py
+++ b/src/yuccafold/edge/_model.py
@@ -18,6 +18,12 @@
 PartId = NewType("PartId", str)
 """Identifies one part of a prompt; equal parts of different prompts have equal ids."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""A version of a target's software: a name without an order, empty if none is stated.
+
+What targets of two versions write doesn't fit together.
+"""
+
 RouteName = NewType("RouteName", str)
 """The name of one route of a catalogue."""
 
@@ -139,7 +145,7 @@
 
     ``born_ms`` is the Unix time of its start in milliseconds, or 0 if the entry
     doesn't have it. A target may restart under the same id, without its earlier
-    memory.
+    memory, and with another ``software``.
     """
 
     id: TargetId
@@ -149,6 +155,7 @@
     slots: int
     state: TargetState
     born_ms: int = 0
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 @final
@@ -167,6 +174,8 @@
 
     ``deadline`` is how long the caller waits, or 0 if the headers don't say.
     ``prompt`` lists the parts in order; the last one belongs to this call only.
+    A call that takes a stream up has ``resume_after``, the id of the last event that
+    the caller has, and ``resumes``, the call that brought the first one.
     """
 
     id: CallId
@@ -174,6 +183,13 @@
     api_key: str | None
     prompt: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
+    resumes: CallId | None = None
+    resume_after: str | None = None
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return self.resumes is not None or self.resume_after is not None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -478,6 +478,7 @@
             address=record.address,
             state=record.state.value,
             born_ms=record.born_ms,
+            software=record.software,
             revision=revision_of(entry.position),
             held_since=self._view.held_since(record.id),
         )
--- a/src/yuccafold/platform/_catalogue.py
+++ b/src/yuccafold/platform/_catalogue.py
@@ -15,6 +15,7 @@
 from yuccafold.edge import RouteName
 from yuccafold.edge import ServiceSpec
 from yuccafold.edge import SocketAddress
+from yuccafold.edge import SoftwareVersion
 from yuccafold.edge import TargetRecord
 from yuccafold.edge import TargetState
 from yuccafold.edge import index_routes
@@ -150,4 +151,15 @@
         state=TargetState(field(source, "state", str)),
         # ``born`` holds the start time of the target in Unix milliseconds.
         born_ms=round(number(source, "born", 0)),
+        software=_software(source),
     )
+
+
+def _software(source: JsonObject) -> SoftwareVersion:
+    """Return the version of a target's software, empty if it is no name or number.
+
+    ``version`` here is not that of the weights, which only targets' answers name.
+    """
+    version = source.get("version")
+    is_name = isinstance(version, str | int) and not isinstance(version, bool)
+    return SoftwareVersion(str(version) if is_name else "")
--- a/src/yuccafold/platform/_headers.py
+++ b/src/yuccafold/platform/_headers.py
@@ -24,6 +24,7 @@
 PROMPT_HEADER = b"x-prompt-prefix"
 TOKEN_COUNTS_HEADER = b"x-token-counts"
 LAST_EVENT_HEADER = b"last-event-id"
+RESUMES_HEADER = b"resumes"
 
 # Headers that are never passed on from a caller: the router sets some of them itself
 # and drops the others.
@@ -63,6 +64,7 @@
         if not call_id or len(call_id) > MAX_ID_BYTES:
             raise ValueError("expected an attempt id, got none or one that is too long")
         deadline = first_value(headers, DEADLINE_HEADER)
+        resumes = first_value(headers, RESUMES_HEADER)
         return CallHead(
             id=CallId(call_id),
             deadline=Milliseconds(0 if deadline is None else _parse_count(deadline)),
@@ -71,6 +73,8 @@
             output_tokens=_parse_output_tokens(
                 first_value(headers, TOKEN_COUNTS_HEADER)
             ),
+            resumes=CallId(resumes) if resumes else None,
+            resume_after=first_value(headers, LAST_EVENT_HEADER) or None,
         )
 
     def target_headers(self, headers: Headers, forwarding: Forwarding) -> Headers:
--- a/src/yuccafold/standins/_platform_forms.py
+++ b/src/yuccafold/standins/_platform_forms.py
@@ -61,6 +61,7 @@
     address: str
     state: str = "ready"
     born_ms: int = 1_000
+    version: str = "v1"
 
     def as_json(self) -> dict[str, Any]:
         """Return the entry in the platform's format."""
@@ -68,7 +69,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": 6,
             "state": self.state,
             "cold_remaining_ms": 0,
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -118,3 +118,15 @@
 def test_leaving_header_is_parsed(value, leaving):
     facts = HeaderTranslator().read_answer(((b"server-leaving", value),))
     assert facts.leaving is leaving
+
+
+def test_headers_of_a_call_that_takes_up_a_stream_are_parsed():
+    head = HeaderTranslator().read_call(
+        (
+            (b"x-attempt-id", b"a2"),
+            (b"resumes", b"a1"),
+            (b"last-event-id", b"7"),
+        )
+    )
+    assert (head.resumes, head.resume_after, head.takes_up) == ("a1", "7", True)
+    assert not HeaderTranslator().read_call(((b"x-attempt-id", b"a2"),)).takes_up
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -13,6 +13,7 @@
 from support.loopback import serving
 from yuccafold._clock import Milliseconds
 from yuccafold.edge import Catalogue
+from yuccafold.edge import Entry
 from yuccafold.edge import HistoryLostError
 from yuccafold.edge import PlatformUnavailableError
 from yuccafold.edge import Repeatability
@@ -294,3 +295,12 @@
         store.return_from(copy)
         with pytest.raises(HistoryLostError):
             await source.changes(lost, SHORT_WAIT)
+
+
+@pytest.mark.parametrize(
+    ("version", "software"),
+    [("v1.1", "v1.1"), (3, "3"), (None, ""), ([], ""), ("", "")],
+)
+def test_software_version_of_a_target_is_parsed(version, software):
+    entry = Entry("servers/t1", 5, wire_target("10.0.0.1:80", version=version))
+    assert decode(entry).software == software
