Let streams go on only at the software version that began them

Cause: nothing read the version in a target's entry. A stream that broke off was resumed at whichever target ranked next, and so was one that a caller took up.

Change: a stream that has begun goes on at targets of its version only. A caller that takes it up may come to any VM, and no call waits for another one, so VMs choose the version of new streams alike: that of the target that ranks first for the prompt, where its calls go anyway. From the targets of the last ten seconds any VM can tell which version that was. VMs tell each other only of the others: streams that were spilled to another version, and those whose prompt moved to another one. A stream whose origin is unknown is refused at once as not run, to return when VMs had time to tell; one whose version has no target left is refused without a delay to return after.

Why it works: the choice needs no message, and what it doesn't decide is told.

--- a/src/yuccafold/edge/_attempts.py
+++ b/src/yuccafold/edge/_attempts.py
@@ -12,6 +12,7 @@
 from yuccafold._verdict import Verdict
 from yuccafold.edge._model import Repeatability
 from yuccafold.edge._model import Route
+from yuccafold.edge._model import SoftwareVersion
 
 MIN_ATTEMPT_TIME = Milliseconds(30)
 """With less time left than this no target can answer: twice the shortest processing
@@ -37,6 +38,11 @@
 for the demand that is refused to spread out, and short against their deadlines."""
 
 
+RETRY_STREAM = Milliseconds(1_000)
+"""Retry delay for callers that take up a stream of unknown origin: VMs hear within
+1,200 ms where it began."""
+
+
 class Failure(Enum):
     """How an attempt failed."""
 
@@ -118,6 +124,25 @@
     )
 
 
+def version_gone(
+    version: SoftwareVersion, may_come_back: bool, rng: random.Random
+) -> Refusal:
+    """Return the answer when no target can go on with a stream.
+
+    It names no retry delay if the version that began the stream has no target left.
+    """
+    reason = f"no target of software version {version!r:.40}, which began the stream"
+    wait = with_jitter(RETRY_LATER, rng) if may_come_back else None
+    return Refusal(503, "version_gone", reason, Verdict.NOT_RUN, wait)
+
+
+def origin_unknown(rng: random.Random) -> Refusal:
+    """Return the answer when the version that began a stream is not known yet."""
+    wait = with_jitter(RETRY_STREAM, rng)
+    reason = "software version that began the stream is unknown"
+    return Refusal(503, "origin_unknown", reason, Verdict.NOT_RUN, wait)
+
+
 def limited(rng: random.Random) -> Refusal:
     """Return the answer when the limits of all targets leave no room for the call."""
     wait = with_jitter(RETRY_LIMITED, rng)
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import final
 
 import h11
@@ -22,9 +23,11 @@
 from yuccafold.edge._attempts import limited
 from yuccafold.edge._attempts import may_try_again
 from yuccafold.edge._attempts import no_target
+from yuccafold.edge._attempts import origin_unknown
 from yuccafold.edge._attempts import out_of_time
 from yuccafold.edge._attempts import quarantined
 from yuccafold.edge._attempts import refusal_of
+from yuccafold.edge._attempts import version_gone
 from yuccafold.edge._call import Call
 from yuccafold.edge._call import RunRecord
 from yuccafold.edge._crash_probe import CrashProbe
@@ -46,6 +49,7 @@
 from yuccafold.edge._responder import EdgeResponder
 from yuccafold.edge._retries import Retries
 from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._streams import Knowledge
 from yuccafold.edge._suspects import crash_id
 from yuccafold.edge._targets import Targets
 from yuccafold.http import ConnectionPool
@@ -93,11 +97,18 @@
         refusal: Refusal | None = None
         time_left = (call.deadline - self._clock.now()) / MS_PER_SECOND
         self._quarantine.begin_trial(call, self._clock.now())
+        origin = self._targets.streams.origin(call, self._clock.now())
+        if origin.version is not None:
+            relay.require_version(origin.version)
         try:
             with trio.move_on_after(max(0.0, time_left)) as scope:
-                refusal = await self._try_targets(call, relay, record)
+                if origin.knowledge is Knowledge.UNKNOWN:
+                    refusal = origin_unknown(self._rng)
+                else:
+                    refusal = await self._try_targets(call, relay, record)
         finally:
             self._quarantine.end_trial(call)
+            self._targets.streams.end(call, relay.is_stream_whole, self._clock.now())
         if scope.cancelled_caught and not responder.whole:
             refusal = out_of_time(record.verdict, self._rng)
         if refusal is not None and not responder.started:
@@ -113,7 +124,9 @@
         while True:
             if self._standing(call) is Standing.QUARANTINED:
                 return await self._refuse_quarantined(call, relay, record)
-            placement = self._targets.place(call, tried, self._clock.now())
+            placement = self._targets.place(
+                call, tried, self._clock.now(), relay.version
+            )
             if placement is None:
                 return await self._end_without_target(call, relay, record)
             try:
@@ -141,7 +154,11 @@
         if await relay.send_held_error():
             return None
         if record.verdict is Verdict.NOT_RUN:
-            if self._targets.has_limited(call.service, self._clock.now()):
+            now = self._clock.now()
+            if relay.version is not None:
+                may_come_back = self._targets.has_version(call, relay.version, now)
+                return version_gone(relay.version, may_come_back, self._rng)
+            if self._targets.has_limited(call.service, now):
                 return limited(self._rng)
             return no_target(self._rng)
         return refusal_of(Failure.UNREACHABLE, record.verdict, self._rng)
@@ -328,10 +345,18 @@
             self._metrics.count(
                 "answers", service=call.service, framing=exchange.framing.value
             )
-        await relay.relay_answer(exchange, head)
+        await relay.relay_answer(
+            exchange, head, partial(self._begin, call, target, relay)
+        )
         if head.status_code < FIRST_REDIRECT:
             self._quarantine.record_sound(call, self._clock.now())
 
+    def _begin(self, call: Call, target: TargetRecord, relay: AnswerRelay) -> None:
+        """Record that a stream begins at ``target``; tell others if they must know."""
+        relay.require_version(target.software)
+        if self._targets.streams.begin(call, target, self._clock.now()):
+            self._report_soon()
+
     async def _receive_head(
         self,
         call: Call,
@@ -349,7 +374,9 @@
         timeout = answer_timeout(call.admitted.route)
         with trio.move_on_after(timeout / MS_PER_SECOND):
             return await exchange.receive_head()
-        has_other = self._targets.has_other(call, target, self._clock.now())
+        has_other = self._targets.has_other(
+            call, target, self._clock.now(), relay.version
+        )
         if has_other and self._may_try_again(call, relay, record):
             raise AttemptFailedError(Failure.SILENT, f"no answer for {timeout} ms")
         self._targets.record_timeout(call, target, self._clock.now())
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -39,6 +39,8 @@
 from yuccafold.edge._positions import position_of
 from yuccafold.edge._positions import revision_of
 from yuccafold.edge._settings import SocketAddress
+from yuccafold.edge._stream_exchange import StreamExchange
+from yuccafold.edge._stream_exchange import answer_streams
 from yuccafold.edge._suspect_exchange import SuspectExchange
 from yuccafold.edge._suspect_exchange import answer_suspects
 from yuccafold.edge._view import PlatformView
@@ -89,6 +91,7 @@
         self._clock = clock
         self._connection = PersistentConnection(address.host, address.port, timeouts)
         self._suspects = SuspectExchange(evidence.quarantine, str(address))
+        self._streams = StreamExchange(evidence.streams, str(address))
         self._newer_settings: Entry | None = None
 
     @property
@@ -115,6 +118,7 @@
             | self._state_fields(after)
             | local_report.as_fields(now)
             | self._suspects.query(now)
+            | self._streams.query(now)
         )
         changes, is_whole = await self._get(
             f"{VIEW_PATH}?{urlencode(query)}", local_report
@@ -129,6 +133,7 @@
             {"vm": self._vm}
             | self._state_fields(self._table.position)
             | self._suspects.query(self._clock.now())
+            | self._streams.query(self._clock.now())
         )
         try:
             status, _, body = await self._connection.get(
@@ -139,6 +144,7 @@
             answer = json.loads(body)
             now = self._clock.now()
             self._suspects.record_answer(answer, now)
+            self._streams.record_answer(answer, now)
             self._newer_settings = self._settings(answer)
             return VmReport.from_fields(answer, now)
         except (
@@ -183,6 +189,7 @@
                 total = VmReport.from_fields(answer, now)
                 self._evidence.record_fleet_report(total, local_report, now)
                 self._suspects.record_answer(answer, now)
+                self._streams.record_answer(answer, now)
             return changes, bool(answer["whole"])
         except (ValueError, TypeError, KeyError, zlib.error) as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
@@ -265,7 +272,7 @@
         local_report = self._evidence.local_report(now)
         if parts.path == REPORTS_PATH:
             total = self._fleet_reports.seed_total(local_report, now)
-            fields = total.as_fields(now) | self._suspects(query, now)
+            fields = total.as_fields(now) | self._exchanged(query, now)
             return 200, json.dumps(fields | self._newer_settings(query))
         age = self._view.age(now)
         if age is None or not self._table.is_complete:
@@ -281,7 +288,7 @@
             ERA_FIELD: self._table.era,
         }
         value |= self._fleet_reports.total(local_report, now).as_fields(now)
-        value |= self._suspects(query, now) | self._newer_settings(query)
+        value |= self._exchanged(query, now) | self._newer_settings(query)
         if changed is None:
             rows = [self._row(entry, START) for entry in self._table.present()]
         else:
@@ -323,8 +330,10 @@
             return {}
         return {SETTINGS_FIELD: self._row(in_force.entry, START)}
 
-    def _suspects(self, query: dict[str, str], now: Milliseconds) -> dict[str, Any]:
-        return answer_suspects(self._evidence.quarantine, query, now)
+    def _exchanged(self, query: dict[str, str], now: Milliseconds) -> dict[str, Any]:
+        """Merge what the requesting VM tells, and return what it lacks."""
+        suspects = answer_suspects(self._evidence.quarantine, query, now)
+        return suspects | answer_streams(self._evidence.streams, query, now)
 
     def _record_report(self, query: dict[str, str], now: Milliseconds) -> None:
         """Record the requesting VM's report on its calls; ignore a malformed one."""
--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from itertools import pairwise
 from typing import final
 
@@ -16,6 +17,7 @@
 from yuccafold.edge._exchange import AttemptFailedError
 from yuccafold.edge._exchange import Exchange
 from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._responder import EdgeResponder
 from yuccafold.edge._responder import answer_headers
 from yuccafold.http import Framing
@@ -140,20 +142,41 @@
         self._responder = responder
         self._cursor = EventCursor()
         self._held_error: tuple[h11.Response, bytes, Framing | None] | None = None
+        self._version: SoftwareVersion | None = None
+        self._is_stream_whole = False
+
+    @property
+    def version(self) -> SoftwareVersion | None:
+        """The software version at which the stream must go on, ``None`` if any."""
+        return self._version
 
     @property
     def started(self) -> bool:
         """Whether the answer to the caller has begun."""
         return self._responder.started
 
+    @property
+    def is_stream_whole(self) -> bool:
+        """Whether the answer was a stream that came to its end."""
+        return self._is_stream_whole
+
     @property
     def resume_after(self) -> str | None:
         """The id of the last event that was sent to the caller, if any."""
         last_id = self._cursor.last_id
         return str(last_id) if self.started and last_id is not None else None
 
-    async def relay_answer(self, exchange: Exchange, head: h11.Response) -> None:
-        """Relay an answer to the caller.
+    def require_version(self, version: SoftwareVersion) -> None:
+        """Record at which software version the stream began."""
+        self._version = version
+
+    async def relay_answer(
+        self,
+        exchange: Exchange,
+        head: h11.Response,
+        on_start: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Relay an answer to the caller; ``on_start`` is called before a stream begins.
 
         Raises ``AttemptFailedError`` if it breaks off, is a server error, or can't
         continue a stream that the caller has received in part.
@@ -165,7 +188,7 @@
             detail = f"status {head.status_code} without events for a resumed stream"
             raise AttemptFailedError(Failure.BROKEN, detail)
         if is_stream:
-            await self._relay_stream(exchange, head)
+            await self._relay_stream(exchange, head, on_start)
         else:
             await self._relay_whole(exchange, head)
 
@@ -226,7 +249,9 @@
             with _finish_scope():
                 await self._responder.answer(head.status_code, headers, body, framing)
 
-    async def _relay_stream(self, exchange: Exchange, head: h11.Response) -> None:
+    async def _relay_stream(
+        self, exchange: Exchange, head: h11.Response, on_start: Callable[[], None]
+    ) -> None:
         """Relay a stream as it arrives, for resumable calls only in whole events.
 
         A stream that ends inside an event was broken off, however it is framed: the end
@@ -241,6 +266,7 @@
             if not new_data:
                 continue
             if not self.started:
+                on_start()
                 self._start(exchange.framing, head)
             await self._responder.send(new_data)
         if boundary.is_inside_event:
@@ -248,6 +274,7 @@
         if boundary.is_at_start and exchange.framing is Framing.UNTIL_CLOSE:
             raise AttemptFailedError(Failure.BROKEN, "ended before its first event")
         exchange.mark_complete()
+        self._is_stream_whole = True
         if not self.started:
             self._start(exchange.framing, head)
         await self._finish()
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -19,6 +19,7 @@
 from yuccafold.edge._health import Outcome
 from yuccafold.edge._health import TargetHealth
 from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetLoad
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._placement import HolderMemory
@@ -29,6 +30,7 @@
 from yuccafold.edge._quarantine import Quarantine
 from yuccafold.edge._quarantine import quarantine_settings
 from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._streams import Streams
 from yuccafold.edge._target_limits import TargetLimits
 from yuccafold.edge._view import KnownTarget
 from yuccafold.edge._view import PlatformView
@@ -45,10 +47,12 @@
         self._view = view
         self._health = TargetHealth()
         self._epoch = f"{rng.getrandbits(32):08x}"
+        self._streams = Streams(view, self._epoch)
         self._evidence = TargetEvidence(
             limits=TargetLimits(rng),
             quarantine=Quarantine(quarantine_settings(settings, self._epoch)),
             leaving=view.leaving,
+            streams=self._streams.versions,
         )
         self._holders = HolderMemory()
         self._prompt_placement = PromptPlacement(
@@ -61,6 +65,11 @@
         """Load and outcomes of targets, from local calls and reports of all VMs."""
         return self._evidence
 
+    @property
+    def streams(self) -> Streams:
+        """The software versions at which streams began."""
+        return self._streams
+
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Apply the settings of the quarantine from now on."""
         self._evidence.quarantine.apply_settings(
@@ -68,27 +77,43 @@
         )
 
     def place(
-        self, call: Call, tried: Collection[TargetId], now: Milliseconds
+        self,
+        call: Call,
+        tried: Collection[TargetId],
+        now: Milliseconds,
+        version: SoftwareVersion | None = None,
     ) -> Placement | None:
         """Return the target for the next attempt, ``None`` if there is none.
 
         Calls that a target's limit leaves no room for go to the next one.
 
-        ``tried`` are the targets of earlier attempts; they are not chosen again.
+        ``tried`` are the targets of earlier attempts; they are not chosen again. A
+        stream that has begun goes on at a target of its ``version`` only.
         """
-        ready = self._view.ready(call.service, now)
+        ready = self._ready(call.service, version, now)
         repeatable = call.repeatability is not Repeatability.ONCE
         untried = [known for known in ready if known.record.id not in tried]
         target_ids = [known.record.id for known in ready]
         unhealthy = self._evidence.outcomes.unhealthy(target_ids, now)
         usable = self._health.usable(untried, repeatable, now, unhealthy)
         limits = self._limits_of(call, usable, now)
+        preferred = self._streams.preferred_version(call, now)
         if call.head.prompt:
             holders = self._possible_holders(call.service, unhealthy)
             return self._prompt_placement.choose(
-                call.head.prompt, usable, holders, now, limits
+                call.head.prompt, usable, holders, now, limits, preferred
             )
-        return self._plain_placement.choose(usable, now, limits)
+        return self._plain_placement.choose(usable, now, limits, preferred)
+
+    def _ready(
+        self, service: ServiceId, version: SoftwareVersion | None, now: Milliseconds
+    ) -> list[KnownTarget]:
+        """Return the targets that may get calls, of one version if it is given."""
+        return [
+            known
+            for known in self._view.ready(service, now)
+            if version is None or known.record.software == version
+        ]
 
     def _limits_of(
         self, call: Call, targets: Sequence[KnownTarget], now: Milliseconds
@@ -128,11 +153,26 @@
             and not self._health.is_down(known.record.id)
         ]
 
-    def has_other(self, call: Call, target: TargetRecord, now: Milliseconds) -> bool:
-        """Return whether the service has a ready target other than ``target``."""
-        ready = self._view.ready(call.service, now)
+    def has_other(
+        self,
+        call: Call,
+        target: TargetRecord,
+        now: Milliseconds,
+        version: SoftwareVersion | None = None,
+    ) -> bool:
+        """Return whether the service has a ready target other than ``target``.
+
+        With a ``version``, only targets of that version count.
+        """
+        ready = self._ready(call.service, version, now)
         return any(known.record.id != target.id for known in ready)
 
+    def has_version(
+        self, call: Call, version: SoftwareVersion, now: Milliseconds
+    ) -> bool:
+        """Return whether the service has a ready target of ``version``."""
+        return bool(self._ready(call.service, version, now))
+
     def may_send(self, target: TargetRecord, now: Milliseconds) -> bool:
         """Return whether a target may still get a call."""
         return self._view.may_send(target, now)
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import final
@@ -11,6 +12,7 @@
 from yuccafold._ids import TargetId
 from yuccafold.edge._leaving import LeavingTargets
 from yuccafold.edge._model import Catalogue
+from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
 from yuccafold.edge._positions import FIRST_ERA
@@ -49,7 +51,8 @@
     ``expired`` is set if the entry was removed during an outage of the platform,
     when entries may expire although their targets still run. ``unconfirmed_until`` is
     set if the target had left before the store came back from an older copy: until
-    then, its entry may be one that the store has not removed again yet.
+    then, its entry may be one that the store has not removed again yet. ``replaced`` is
+    the software version of the start before, if it was another one.
     """
 
     record: TargetRecord
@@ -57,6 +60,7 @@
     leaving_since: Milliseconds | None = None
     expired: bool = False
     unconfirmed_until: Milliseconds | None = None
+    replaced: SoftwareVersion | None = None
 
 
 @final
@@ -101,6 +105,7 @@
         self._catalogue: Catalogue | None = None
         self._targets: dict[TargetId, KnownTarget] = {}
         self._by_service: dict[ServiceId, list[KnownTarget]] = {}
+        self._mixed_services: set[ServiceId] = set()
         self._confirmed_at: Milliseconds | None = None
         self._outage_until = Milliseconds(0)
         self._position = START
@@ -206,7 +211,10 @@
             leaving_since = now if leaving_since is None else leaving_since
             self._record_departure(record, leaving_since, drains=True)
         changed = known is None or known.record != record or known.expired
-        entry = KnownTarget(record, first_seen_at, leaving_since)
+        replaced = None if known is None else known.replaced
+        if known is not None and known.record.software != record.software:
+            replaced = known.record.software
+        entry = KnownTarget(record, first_seen_at, leaving_since, replaced=replaced)
         changed |= self._hold_departure(entry, now)
         self._targets[record.id] = entry
         self._rebuild_index()
@@ -303,6 +311,10 @@
         """Return all targets that may still hold prompts, including leaving ones."""
         return self._by_service.get(service, [])
 
+    def is_mixed(self, service: ServiceId) -> bool:
+        """Return whether targets of a service have, or lately had, several versions."""
+        return service in self._mixed_services
+
     def forget_gone(self, now: Milliseconds) -> list[TargetId]:
         """Drop targets that left long ago, and return their ids."""
         gone = [
@@ -345,3 +357,18 @@
         self._by_service = {service: [] for service in services}
         for known in self._targets.values():
             self._by_service[known.record.service].append(known)
+        self._mixed_services = {
+            service
+            for service, targets in self._by_service.items()
+            if len(software_versions(targets)) > 1
+        }
+
+
+def software_versions(targets: Iterable[KnownTarget]) -> set[SoftwareVersion]:
+    """Return the software versions that targets have, or had before a restart."""
+    versions: set[SoftwareVersion] = set()
+    for known in targets:
+        versions.add(known.record.software)
+        if known.replaced is not None:
+            versions.add(known.replaced)
+    return versions
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -32,6 +32,7 @@
 from yuccafold.edge._outcomes import summarize_failing
 from yuccafold.edge._placement import LoadTable
 from yuccafold.edge._quarantine import Quarantine
+from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._target_limits import LimitDemand
 from yuccafold.edge._target_limits import LimitNotices
 from yuccafold.edge._target_limits import TargetLimits
@@ -192,6 +193,7 @@
     limits: TargetLimits = field(default_factory=lambda: TargetLimits(random.Random(0)))
     quarantine: Quarantine = field(default_factory=Quarantine)
     leaving: LeavingTargets = field(default_factory=LeavingTargets)
+    streams: StreamVersions = field(default_factory=StreamVersions)
 
     def local_report(self, now: Milliseconds) -> VmReport:
         """Return the report of this VM for the seeds."""
--- a/testing/edge/edge_fleet.py
+++ b/testing/edge/edge_fleet.py
@@ -86,6 +86,7 @@
         self._target_numbers = count(1)
         self.store = PlatformStore(PlatformStoreSettings())
         self.targets = []
+        self.versions = {}
         self.reservations = [reserve_port() for _ in range(vm_count)]
         self.vms = []
         self.reached = []
@@ -118,7 +119,12 @@
         """Serve a target; after each crash start another one at its address."""
         port = 0
         faults = settings.get("faults", NO_FAULTS)
-        values = {name: value for name, value in settings.items() if name != "faults"}
+        version = settings.get("version", "v1")
+        values = {
+            name: value
+            for name, value in settings.items()
+            if name not in ("faults", "version")
+        }
         while True:
             name = f"t{next(self._target_numbers)}"
             server = ServerSettings(port=port, faults=faults)
@@ -130,9 +136,9 @@
                 port = address.port
                 self.targets.append(target)
                 born = 1_000 + len(self.targets)
-                self.store.put(
-                    f"servers/{name}", wire_target(target.server.address, born=born)
-                )
+                self.versions[name] = version
+                entry = wire_target(target.server.address, born=born, version=version)
+                self.store.put(f"servers/{name}", entry)
                 if port and task_status is not None:
                     task_status.started()
                     task_status = None
--- /dev/null
+++ b/testing/edge/test_stream_origins.py
@@ -0,0 +1,258 @@
+"""Simulates VMs that choose the version of streams and find it again during a release.
+
+Guards against VMs that disagree on where a stream began, as they learn of targets at
+different times, or as those that began it are gone before they told of it.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from edge.builders import DESK
+from edge.builders import target
+from yuccafold._clock import Milliseconds
+from yuccafold._ids import CallId
+from yuccafold.edge import PartId
+from yuccafold.edge import SoftwareVersion
+from yuccafold.edge import TargetState
+from yuccafold.edge._stream_exchange import StreamExchange
+from yuccafold.edge._stream_exchange import answer_streams
+from yuccafold.edge._stream_versions import MAX_ROWS
+from yuccafold.edge._stream_versions import MAX_STREAMS
+from yuccafold.edge._stream_versions import STREAM_RETENTION
+from yuccafold.edge._stream_versions import StreamBegin
+from yuccafold.edge._stream_versions import StreamVersions
+from yuccafold.edge._stream_versions import stream_key
+from yuccafold.edge._streams import Streams
+from yuccafold.edge._version_choice import preferred_version
+from yuccafold.edge._view import PlatformView
+
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+REPORT_MS = 450
+MAX_LAG_MS = 400
+
+
+def at(ms):
+    return Milliseconds(ms)
+
+
+@dataclass
+class Tally:
+    right: int = 0
+    wrong: int = 0
+    unknown: int = 0
+
+
+class SimulatedVm:
+    """A VM that learns of targets with a lag, and exchanges streams with the seed."""
+
+    def __init__(self, number, rng):
+        self.view = PlatformView(at(2_000))
+        self.streams = Streams(self.view, f"epoch{number}")
+        self.exchange = None
+        self.lag_ms = rng.randrange(MAX_LAG_MS)
+        self.pending = []
+        self.report_at = rng.randrange(REPORT_MS)
+
+    def hear(self, change, now):
+        self.pending.append((now + self.lag_ms, change))
+
+    def step(self, seed, now):
+        while self.pending and self.pending[0][0] <= now:
+            _, change = self.pending.pop(0)
+            change(self.view, at(now))
+        if seed is not self and now >= self.report_at:
+            self.report_at = now + REPORT_MS
+            query = {
+                name: str(value) for name, value in self.exchange.query(now).items()
+            }
+            answer = answer_streams(
+                seed.streams.versions, query | {"vm": str(id(self))}, now
+            )
+            self.exchange.record_answer(answer, now)
+        self.view.forget_gone(at(now))
+
+    def choose(self, key, now, spill):
+        ready = self.view.ready(DESK, at(now))
+        version = preferred_version(key, ready)
+        others = [each for each in ready if each.record.software != version]
+        return others[0].record.software if spill and others else version
+
+
+def released(number, now):
+    """Return the changes of a release that replaces half of the targets."""
+    new = target(f"t{100 + number}", software=V2, born_ms=100_000 + now)
+    old = target(f"t{number}", software=V1)
+    gone = target(f"t{number}", software=V1, state=TargetState.DRAINING)
+    return (
+        lambda view, at_ms: view.put_target(new, at_ms),
+        lambda view, at_ms: view.put_target(gone, at_ms),
+        lambda view, at_ms: view.remove_target(old.id, at_ms),
+    )
+
+
+def play(seed, size=8, targets=9, died_share=0.0, spill_share=0.02):
+    """Play a release, streams that break off, and take-ups at any other VM."""
+    rng = random.Random(seed)
+    vms = [SimulatedVm(number, rng) for number in range(size)]
+    for vm in vms:
+        vm.exchange = StreamExchange(vm.streams.versions, "seed")
+        for number in range(targets):
+            vm.view.put_target(target(f"t{number}", software=V1), at(0))
+    changes = []
+    for number in range(targets // 2):
+        joined, drained, left = released(number, 12_000 + 400 * number)
+        start = 12_000 + 400 * number
+        changes += [(start, joined), (start + 100, drained), (start + 3_000, left)]
+    changes.sort(key=lambda change: change[0])
+    running, tally = [], Tally()
+    for now in range(0, 30_000, 50):
+        while changes and changes[0][0] <= now:
+            _, change = changes.pop(0)
+            for vm in vms:
+                vm.hear(change, now)
+        for vm in vms:
+            vm.step(vms[0], now)
+        for _ in range(2):
+            began(vms, running, rng, now, spill_share)
+        for stream in [each for each in running if each[0] <= now]:
+            running.remove(stream)
+            take_up(vms, stream, rng, now, died_share, tally)
+    return tally
+
+
+def began(vms, running, rng, now, spill_share):
+    vm = rng.choice(vms)
+    call = CallId(f"c{rng.getrandbits(48):x}")
+    key = PartId(f"p{rng.randrange(40)}")
+    version = vm.choose(key, now, rng.random() < spill_share)
+    stream = StreamBegin(DESK, key, version)
+    vm.streams.versions.begin(stream_key(call), stream, at(now))
+    running.append((now + rng.randrange(200, 6_000), vm, call, key, version))
+
+
+def take_up(vms, stream, rng, now, died_share, tally):
+    """Take a stream up at another VM; the one that began it may have died."""
+    _, vm, call, key, version = stream
+    other = rng.choice([each for each in vms if each is not vm])
+    if rng.random() < died_share:
+        vm.streams.versions._own.pop(stream_key(call), None)
+    found = other.streams.versions.told_version(stream_key(call))
+    if found is None:
+        possible = other.streams._possible_versions(DESK, key, at(now))
+        found = possible.pop() if len(possible) == 1 else None
+    tally.right += found == version
+    tally.unknown += found is None
+    tally.wrong += found not in (None, version)
+
+
+@pytest.mark.parametrize(("died_share", "spill_share"), [(0.0, 0.0), (0.4, 0.02)])
+def test_streams_are_taken_up_at_their_version_during_a_release(
+    died_share, spill_share
+):
+    total = Tally()
+    for seed in range(20):
+        tally = play(seed, died_share=died_share, spill_share=spill_share)
+        total.right += tally.right
+        total.wrong += tally.wrong
+        total.unknown += tally.unknown
+    taken_up = total.right + total.wrong + total.unknown
+    print(f"died {died_share}, spilled {spill_share}: {total}")
+    # Two streams a day may go on wrongly, and half of those taken up must go on.
+    assert total.right >= 0.5 * taken_up
+    assert total.wrong <= 2 * 20
+
+
+def test_only_streams_that_others_cannot_tell_are_told():
+    streams = StreamVersions("e1", lambda stream, _: stream.version == V1)
+    assert not streams.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
+    assert streams.begin(stream_key("b"), StreamBegin(DESK, "p1", V2), at(10))
+    rows, _ = streams.changes(0, "vm-2", at(40))
+    assert rows == {"v2": [f"{stream_key('b')}:30"]}
+
+
+def test_stream_is_told_once_its_prompt_moves_to_another_version():
+    preferred = {"p1": V1}
+    streams = StreamVersions("e1", lambda stream, _: preferred["p1"] == stream.version)
+    streams.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
+    assert streams.changes(0, "vm-2", at(10)) == ({}, 0)
+    preferred["p1"] = V2
+    rows, position = streams.changes(0, "vm-2", at(20))
+    assert rows == {"v1": [f"{stream_key('a')}:20"]}
+    assert streams.changes(position, "vm-2", at(30)) == ({}, position)
+
+
+def test_whole_stream_is_forgotten_and_broken_one_is_kept_for_a_while():
+    streams = StreamVersions("e1")
+    for name, is_whole in (("a", True), ("b", False)):
+        streams.begin(stream_key(name), StreamBegin(DESK, "p1", V1), at(0))
+        streams.end(stream_key(name), is_whole, at(1_000))
+    assert streams.own_version(stream_key("a")) is None
+    streams.changes(0, "vm-2", at(1_000 + STREAM_RETENTION))
+    assert streams.own_version(stream_key("b")) == V1
+    streams.changes(0, "vm-2", at(1_001 + STREAM_RETENTION))
+    assert streams.own_version(stream_key("b")) is None
+
+
+def test_streams_are_bounded_and_sent_in_several_messages():
+    streams = StreamVersions("e1", lambda *_: False)
+    for number in range(MAX_STREAMS + 10):
+        key = stream_key(f"c{number}")
+        streams.begin(key, StreamBegin(DESK, "p1", V1), at(0))
+    rows, position = streams.changes(0, "vm-2", at(10))
+    assert len(rows["v1"]) == MAX_ROWS
+    seen = MAX_ROWS
+    while rows:
+        rows, position = streams.changes(position, "vm-2", at(10))
+        seen += len(rows.get("v1", ()))
+    assert seen == MAX_STREAMS
+
+
+def exchange_once(asking, exchange, answering, now):
+    query = {name: str(value) for name, value in exchange.query(at(now)).items()}
+    answer = answer_streams(answering, query | {"vm": "vm-1"}, at(now))
+    exchange.record_answer(answer, at(now))
+    return query, answer
+
+
+def test_vms_send_each_other_only_what_the_other_one_lacks():
+    first = StreamVersions("e1", lambda *_: False)
+    second = StreamVersions("e2", lambda *_: False)
+    exchange = StreamExchange(first, "vm-2")
+    first.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
+    second.begin(stream_key("b"), StreamBegin(DESK, "p1", V2), at(0))
+    exchange_once(first, exchange, second, 10)
+    assert first.told_version(stream_key("b")) == V2
+    assert second.told_version(stream_key("a")) == V1
+    query, answer = exchange_once(first, exchange, second, 20)
+    assert "streams" not in query
+    assert "streams" not in answer
+
+
+def test_vm_that_restarted_is_told_all_again():
+    first = StreamVersions("e1", lambda *_: False)
+    exchange = StreamExchange(first, "vm-2")
+    first.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
+    exchange_once(first, exchange, StreamVersions("e2"), 10)
+    restarted = StreamVersions("e3")
+    exchange_once(first, exchange, restarted, 20)
+    exchange_once(first, exchange, restarted, 30)
+    assert restarted.told_version(stream_key("a")) == V1
+
+
+def test_vm_of_an_earlier_build_tells_nothing():
+    first = StreamVersions("e1", lambda *_: False)
+    exchange = StreamExchange(first, "vm-2")
+    exchange.query(at(0))
+    exchange.record_answer({"age_ms": 5}, at(10))
+    assert first.changes(0, "vm-3", at(20)) == ({}, 0)
+
+
+@pytest.mark.parametrize("text", ["[", "[1]", '{"v1": ["a"]}', '{"v1": ["a:x"]}', "3"])
+def test_malformed_streams_are_ignored(text):
+    streams = StreamVersions("e1")
+    answer = answer_streams(streams, {"vm": "vm-1", "streams": text}, at(0))
+    assert answer == {"streams_after": 0, "streams_epoch": "e1"}
