Fetch prompts from targets of the same software version only

What callers saw: nothing measured. A stream could begin on memory that a target of another version wrote, which doesn't fit together.

Cause: the source of a prompt was chosen by what it holds, whatever its version.

Change: targets of other versions than the placed one are no source. While a release serves two versions, a prompt is read once more at the first target of each.

Evidence: the new test in test_placement.py failed before; it fetched from the other version.

--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -496,13 +496,19 @@
         """Return a target that probably holds more of the prompt than ``target``.
 
         Returns ``None`` if ``target`` holds all of it or there is no other holder. A
-        wrong guess does no harm: parts that ``target`` holds aren't transferred.
+        wrong guess does no harm: parts that ``target`` holds aren't transferred. What a
+        target of another software version keeps in memory is of no use.
         """
         held = self._holders.held_tokens(shared, now)
         held_by_target = held.get(target.record.id, 0)
         prompt_tokens = sum(part.tokens for part in shared)
         if held_by_target == prompt_tokens:
             return None
+        holders = [
+            known
+            for known in holders
+            if known.record.software == target.record.software
+        ]
         others = [known for known in holders if known is not target]
         if not others:
             return None
--- a/testing/edge/test_placement.py
+++ b/testing/edge/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -11,6 +12,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._ids import ZoneId
+from yuccafold.edge import SoftwareVersion
 from yuccafold.edge import TargetLoad
 from yuccafold.edge._placement import HolderMemory
 from yuccafold.edge._placement import LoadTable
@@ -243,3 +245,15 @@
         chosen.append(found)
     assert chosen[:2] == ["t1", "t1"]
     assert Counter(chosen) == {"t1": 4, "t2": 2}
+
+
+def test_prompt_is_not_fetched_from_a_target_of_another_software_version():
+    old, new = engines(2)
+    new.record = replace(new.record, software=SoftwareVersion("v2"))
+    holders = HolderMemory()
+    holders.record_read(SHARED, old.record.id, NOW)
+    placed = place(placement(holders=holders), [new], present=[old, new])
+    assert placed.fetch_from is None
+    new.record = replace(new.record, software=old.record.software)
+    placed = place(placement(holders=holders), [new], present=[old, new])
+    assert placed.fetch_from is old
