Play an older store and targets that say they leave in the soak

Change: the store is away at random, comes back from a copy up to three seconds old in its next era, and all is written again a moment later; targets are replaced that say so in their answers only. The soak checks that a VM sends no call to a target later than the drain bound after it passed that on, and that settings written after the last fault are in force at every VM in time. Keys that were revoked before a return stay revoked by the check that was there. Both faults draw from generators of their own, so that the other faults of a seed stay.

--- a/src/yuccafold/soak/_promises.py
+++ b/src/yuccafold/soak/_promises.py
@@ -70,6 +70,8 @@
         self._disconnections: dict[str, list[tuple[Milliseconds, Milliseconds]]] = {}
         self._statuses: Counter[int] = Counter()
         self._lethal_runs: dict[str, list[tuple[Milliseconds, str]]] = {}
+        self._leaving_runs: dict[str, str] = {}
+        self._told_leaving: dict[tuple[str, str], Milliseconds] = {}
         self._violations: list[Violation] = []
 
     @property
@@ -98,6 +100,9 @@
         complete one.
         """
         self._statuses[status] += 1
+        if status == 200 and attempt in self._leaving_runs and self._runs[attempt] == 1:
+            told = (self._sent[attempt].vm, self._leaving_runs[attempt])
+            self._told_leaving.setdefault(told, self._clock.now())
         if fault is not None:
             self._add_violation("own whole answer", attempt, fault)
         if status in NOT_RUN_STATUSES:
@@ -127,9 +132,22 @@
         if not sent.repeatable and attempt in self._refused:
             self._add_violation("not run", attempt, f"{target} runs it after a refusal")
         self._check_key(sent, attempt, target)
+        self._check_leaving(sent, attempt, target)
         if now > self._disconnected_until.get(sent.vm, Milliseconds(0)):
             self._check_drain(target, attempt, now)
 
+    def record_leaving_run(self, target: str, attempt: str) -> None:
+        """Record that a target that runs ``attempt`` says in its answer that it leaves.
+
+        A VM knows it once it has passed such an answer on.
+        """
+        self._leaving_runs[attempt] = target
+
+    def record_restart(self, vm: str) -> None:
+        """Record that a VM restarts or is paused, so it may forget what it was told."""
+        for told in [told for told in self._told_leaving if told[0] == vm]:
+            del self._told_leaving[told]
+
     def record_lethal_run(self, part: str, attempt: str) -> None:
         """Record that a target begins to run a call with a part that crashes it."""
         self._lethal_runs.setdefault(part, []).append((self._clock.now(), attempt))
@@ -187,6 +205,17 @@
                 f"{target} runs it, sent {since_revocation} ms after the revocation",
             )
 
+    def _check_leaving(self, sent: SentAttempt, attempt: str, target: str) -> None:
+        told_at = self._told_leaving.get((sent.vm, target))
+        limit = self._drain_limit + CHECK_SLACK
+        if told_at is not None and sent.sent_at > told_at + limit:
+            self._add_violation(
+                "leaving targets",
+                attempt,
+                f"{target} runs it, sent {sent.sent_at - told_at} ms after {sent.vm} "
+                "passed on that it leaves",
+            )
+
     def _check_drain(self, target: str, attempt: str, now: Milliseconds) -> None:
         draining_since = self._draining_since.get(target)
         limit = self._drain_limit + CHECK_SLACK
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -5,6 +5,7 @@
 import random
 import signal
 from collections import Counter
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -26,6 +27,7 @@
 from yuccafold.soak._promises import Violation
 from yuccafold.soak._settings import FaultKind
 from yuccafold.soak._settings import SoakSettings
+from yuccafold.standins import TARGET_KEY_PREFIX
 from yuccafold.standins import BoundAddress
 from yuccafold.standins import PlatformStore
 from yuccafold.standins import PlatformStoreSettings
@@ -35,13 +37,20 @@
 from yuccafold.standins import PublishedTarget
 from yuccafold.standins import Relay
 from yuccafold.standins import ServedRequest
+from yuccafold.standins import StoreCopy
 from yuccafold.standins import TargetMode
 from yuccafold.standins import attempt_of
+from yuccafold.standins import call_headers
 from yuccafold.standins import configuration
 from yuccafold.standins import has_caller_key
 from yuccafold.standins import shared_parts
 
 MAX_SEED_VMS = 3
+FAULTS_OF_THEIR_OWN = frozenset(
+    {FaultKind.PART_LETHAL, FaultKind.STORE_OLDER, FaultKind.TARGET_SAYS_LEAVING}
+)
+"""Faults that come at times of their own, so that they change no others of a seed."""
+
 FAULTS_OF_ALL_VMS = frozenset({FaultKind.STORE_REFUSES, FaultKind.STORE_FORGETS})
 KEY_COUNT = 6
 SERVICE = "desk"
@@ -72,6 +81,15 @@
 It covers the idle timeout of these connections and the time for calls in progress.
 """
 
+COPIES = 6
+COPY_PAUSE_S = 0.5
+"""The store comes back from a copy that is up to the product of both old."""
+
+PAUSES_BETWEEN_RETURNS = (6, 20)
+LATEST_KEY = "key-latest"
+SETTINGS_TRIES = 20
+"""Calls until one with the latest key is answered; others may meet a bad target."""
+
 RECOVERY_CALLS = 20
 """How many successful answers are required after the last fault."""
 
@@ -122,6 +140,8 @@
         self._targets: dict[str, tuple[PlatformTarget, Relay]] = {}
         self._targets_created = 0
         self._version = 0
+        self._states: dict[str, str] = {}
+        self._copies: deque[StoreCopy] = deque(maxlen=COPIES)
         self._lethal_parts: set[str] = set()
         self._keys = [f"key-{n}" for n in range(KEY_COUNT)]
         self._extra_route = False
@@ -137,6 +157,7 @@
                 await self._inject_faults()
             self._lethal_parts.clear()
             await self._check_recovery()
+            await self._check_settings_in_force()
             for scope in self._client_scopes:
                 scope.cancel()
             self._promises.check_lethal_parts()
@@ -151,6 +172,7 @@
 
     async def _start(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
+        self._store.era = 1
         await nursery.start(self._store.serve)
         self._configure()
         for _ in range(self._settings.targets):
@@ -166,7 +188,12 @@
                 name = f"{vm.name}-c{number}"
                 rng = random.Random(f"{self._settings.seed} {name}")
                 client = SoakClient(
-                    name, vm, self._keys, self._promises, rng, self._lethal_parts
+                    name,
+                    vm,
+                    self._keys,
+                    self._promises,
+                    rng,
+                    self._lethal_parts,
                 )
                 nursery.start_soon(self._run_client, client)
 
@@ -180,6 +207,9 @@
     def _configure(self) -> None:
         """Write the next version of the configuration to the store."""
         self._version += self._rng.randint(1, 3)
+        self._write_configuration()
+
+    def _write_configuration(self, *latest: PublishedRoute) -> None:
         routes = [
             PublishedRoute("/look/", "safe", SERVICE),
             PublishedRoute("/book/", "unsafe", SERVICE, max_attempts=1),
@@ -192,15 +222,17 @@
                 if self._extra_route
                 else []
             ),
+            *latest,
         ]
         self._store.configure(configuration(routes, list(self._keys), self._version))
 
-    async def _add_target(self) -> None:
+    async def _add_target(self, rng: random.Random | None = None) -> None:
+        rng = rng or self._rng
         self._targets_created += 1
         name = f"t{self._targets_created}"
         settings = PlatformTargetSettings(
             name,
-            work_ms=self._rng.randint(2, 40),
+            work_ms=rng.randint(2, 40),
             event_pause_ms=15,
             lethal_parts=self._lethal_parts,
         )
@@ -229,20 +261,33 @@
         await self._add_target()
 
     def _list_target(self, name: str, state: str) -> None:
-        address = self._targets[name][1].address
-        entry = PublishedTarget(SERVICE, address, state, born_ms=int(name[1:]))
+        self._states[name] = state
+        entry = PublishedTarget(
+            SERVICE,
+            self._targets[name][1].address,
+            state,
+            born_ms=int(name[1:]),
+        )
         self._store.list_target(name, entry)
 
     def _record_run(self, target: str, request: ServedRequest) -> None:
         attempt = attempt_of(request)
         self._promises.record_run(target, attempt, has_caller_key(request))
+        if target in self._targets and self._targets[target][0].leaving:
+            self._promises.record_leaving_run(target, attempt)
         for part in self._lethal_parts.intersection(shared_parts(request)):
             self._promises.record_lethal_run(part, attempt)
 
     async def _inject_faults(self) -> None:
         """Start faults after random pauses; several can be active at once."""
         self._nursery.start_soon(self._use_lethal_parts)
-        kinds = [kind for kind in FaultKind if kind is not FaultKind.PART_LETHAL]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._return_from_copies)
+            nursery.start_soon(self._replace_by_answers)
+            await self._inject_faults_at_random()
+
+    async def _inject_faults_at_random(self) -> None:
+        kinds = [kind for kind in FaultKind if kind not in FAULTS_OF_THEIR_OWN]
         while True:
             mean_pause_s = self._settings.fault_pause_s
             await trio.sleep(self._rng.uniform(mean_pause_s / 2, mean_pause_s * 1.5))
@@ -266,6 +311,60 @@
             await trio.sleep(rng.uniform(0.5, 1.5) * mean_s)
             self._lethal_parts.discard(part)
 
+    async def _return_from_copies(self) -> None:
+        """Have the store come back from copies that are some seconds old."""
+        rng = random.Random(f"{self._settings.seed} older")
+        while True:
+            for _ in range(rng.randint(*PAUSES_BETWEEN_RETURNS)):
+                self._copies.append(self._store.copy())
+                await trio.sleep(COPY_PAUSE_S)
+            self._report.faults[FaultKind.STORE_OLDER] += 1
+            away_s = rng.uniform(0.05, 1.0)
+            for vm in self._vms:
+                self._promises.record_disconnection(vm.name, seconds(away_s))
+            self._store.refuse_with = 503
+            try:
+                await trio.sleep(away_s)
+            finally:
+                self._store.return_from(self._copies[0])
+                self._store.refuse_with = None
+            try:
+                await trio.sleep(rng.uniform(0, 0.4))
+            finally:
+                self._write_again()
+
+    def _write_again(self) -> None:
+        """Write what the store may have lost; entries of ended targets expire."""
+        self._write_configuration()
+        for name in self._targets:
+            self._list_target(name, self._states[name])
+        listed = {
+            key.removeprefix(TARGET_KEY_PREFIX)
+            for key in self._store.copy().items
+            if key.startswith(TARGET_KEY_PREFIX)
+        }
+        for name in listed.difference(self._targets):
+            self._nursery.start_soon(self._expire_entry, name)
+
+    async def _expire_entry(self, name: str) -> None:
+        await trio.sleep(RESTART_S)
+        self._store.unlist_target(name)
+
+    async def _replace_by_answers(self) -> None:
+        """Replace targets that say in their answers only that they leave."""
+        rng = random.Random(f"{self._settings.seed} leaving")
+        while True:
+            await trio.sleep(rng.uniform(1, 2) * self._settings.fault_duration_s)
+            ready = [name for name in self._targets if self._states[name] == "ready"]
+            if not ready or len(self._targets) > self._settings.targets:
+                continue
+            name = rng.choice(ready)
+            self._report.faults[FaultKind.TARGET_SAYS_LEAVING] += 1
+            await self._add_target(rng)
+            if name in self._targets:
+                self._targets[name][0].leaving = True
+                self._nursery.start_soon(self._end_target, name)
+
     async def _inject_fault(self, kind: FaultKind, duration_s: float) -> None:
         if kind.value.startswith("store"):
             await self._inject_store_fault(kind, duration_s)
@@ -339,6 +438,10 @@
         await self._add_target()
         self._list_target(name, "draining")
         self._promises.record_drain(name)
+        await self._end_target(name)
+
+    async def _end_target(self, name: str) -> None:
+        """Remove a target that leaves, some time after the drain limit."""
         await trio.sleep(self._settings.drain_ms / 1000 + 1.0)
         if name not in self._targets:
             return
@@ -355,6 +458,7 @@
         if vm.name in self._vms_under_fault:
             return
         self._vms_under_fault.add(vm.name)
+        self._promises.record_restart(vm.name)
         self._promises.record_disconnection(vm.name, seconds(duration_s))
         try:
             if kind is FaultKind.VM_PAUSED:
@@ -388,6 +492,25 @@
             return
         self._add_violation("recovery", "all", "not served after the last fault")
 
+    async def _check_settings_in_force(self) -> None:
+        """Check that every VM applies settings that are written after all faults."""
+        self._version += 1
+        self._keys = [*self._keys, LATEST_KEY]
+        self._write_configuration(PublishedRoute("/latest/", "safe", SERVICE))
+        await trio.sleep(self._settings.apply_ms / 1000)
+        for vm in self._vms:
+            statuses: list[int] = []
+            attempt = f"{vm.name}-latest"
+            self._promises.record_sent(attempt, LATEST_KEY, True, vm.name)
+            for _ in range(SETTINGS_TRIES):
+                statuses.append(await _status(vm, "/latest/x", attempt))
+                if statuses[-1] == 200:
+                    break
+                await trio.sleep(0.1)
+            else:
+                seen = f"a call on the latest route gets {statuses}"
+                self._add_violation("settings in force", vm.name, seen)
+
     def _check_running(self) -> None:
         """Check that no process has ended by itself, and leave out those that have."""
         for vm in [vm for vm in self._vms if vm.has_exited()]:
@@ -422,6 +545,21 @@
         self._report.violations.append(Violation(promise, subject, seen))
 
 
+async def _status(vm: EdgeProcess, path: str, attempt: str) -> int:
+    """Return the status of a call to a VM with the latest key, 0 if unanswered."""
+    headers = [*call_headers(attempt, LATEST_KEY, 2_000), ("Connection", "close")]
+    lines = [f"GET {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
+    with trio.move_on_after(3):
+        try:
+            async with await trio.open_tcp_stream(*vm.caller_address) as stream:
+                await stream.send_all("\r\n".join([*lines, "", ""]).encode())
+                first_line = await stream.receive_some(64)
+                return int(first_line.split()[1])
+        except (OSError, trio.BrokenResourceError, IndexError, ValueError):
+            return 0
+    return 0
+
+
 async def run_soak(settings: SoakSettings, folder: Path) -> SoakReport:
     """Run one soak; the routers' logs are written to ``folder``."""
     return await _Soak(settings, folder).run()
--- a/src/yuccafold/soak/_settings.py
+++ b/src/yuccafold/soak/_settings.py
@@ -20,6 +20,9 @@
     """The store answers 503 to every VM."""
     STORE_FORGETS = "store-forgets"
     """The store drops its history, so that watches must start again from a list."""
+    STORE_OLDER = "store-older"
+    """The store is away and comes back from a copy some seconds old, in its next era.
+    What it lost is written again a moment later."""
     TARGET_SILENT = "target-silent"
     """Open connections to a target become silent; new ones work."""
     TARGET_CUT = "target-cut"
@@ -40,6 +43,8 @@
     calls have it, and share their key and other parts with sound ones."""
     TARGET_LEAVES = "target-leaves"
     """A target drains; another one replaces it."""
+    TARGET_SAYS_LEAVING = "target-says-leaving"
+    """The same, but the target says so in its answers only, not in the store."""
     VM_PAUSED = "vm-paused"
     """A router process is suspended and resumed later."""
     VM_KILLED = "vm-killed"
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -36,6 +36,7 @@
 from yuccafold.standins._plain import PlainService
 from yuccafold.standins._plain import PlainSettings
 from yuccafold.standins._plain import body_digest
+from yuccafold.standins._platform_forms import TARGET_KEY_PREFIX
 from yuccafold.standins._platform_forms import PublishedRoute
 from yuccafold.standins._platform_forms import PublishedTarget
 from yuccafold.standins._platform_forms import attempt_of
@@ -65,6 +66,7 @@
 from yuccafold.standins._weight_store import WeightStoreSettings
 
 __all__ = [
+    "TARGET_KEY_PREFIX",
     "NO_FAULTS",
     "Block",
     "BoundAddress",
--- a/src/yuccafold/standins/_platform_store.py
+++ b/src/yuccafold/standins/_platform_store.py
@@ -123,8 +123,9 @@
         )
 
     def unlist_target(self, name: str) -> None:
-        """Remove a target's entry."""
-        self.remove(f"{TARGET_KEY_PREFIX}{name}")
+        """Remove a target's entry, if there is one."""
+        if f"{TARGET_KEY_PREFIX}{name}" in self._items:
+            self.remove(f"{TARGET_KEY_PREFIX}{name}")
 
     def remove(self, key: str) -> None:
         """Remove a key."""
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -149,3 +149,38 @@
         checker.record_lethal_run("lethal", "a1")
     checker.check_lethal_parts()
     assert broken_promises(checker) == []
+
+
+def told_checker():
+    """Return a checker whose ``vm-0`` has passed on that ``t1`` leaves."""
+    checker, clock = promise_checker()
+    checker.record_run("t1", "r1", has_caller_key=False)
+    checker.record_leaving_run("t1", "r1")
+    checker.record_answer("r1", 200, None)
+    return checker, clock
+
+
+@pytest.mark.parametrize(
+    ("vm", "late_ms", "seen"),
+    [
+        ("vm-0", DRAIN + 1_000, ["leaving targets"]),
+        ("vm-0", DRAIN, []),
+        ("vm-1", DRAIN + 1_000, []),
+    ],
+)
+def test_call_to_a_target_that_said_it_leaves_is_detected(vm, late_ms, seen):
+    checker, clock = told_checker()
+    clock.advance(Milliseconds(late_ms))
+    checker.record_disconnection(vm, Milliseconds(10_000))
+    checker.record_sent("r2", "key-1", repeatable=True, vm=vm)
+    checker.record_run("t1", "r2", has_caller_key=False)
+    assert broken_promises(checker) == seen
+
+
+def test_restart_excuses_a_call_to_a_target_that_said_it_leaves():
+    checker, clock = told_checker()
+    checker.record_restart("vm-0")
+    clock.advance(Milliseconds(DRAIN + 1_000))
+    checker.record_sent("r2", "key-1", repeatable=True, vm="vm-0")
+    checker.record_run("t1", "r2", has_caller_key=False)
+    assert broken_promises(checker) == []
