Take up broken streams in the soak, at targets of two software versions

Change: half of the targets have each version, callers take a stream that broke off up at a VM of their choice, and the soak counts the runs that go on at another version than the one that the stream began at: two at most, as the users' rule says.

--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from collections.abc import Set
 from itertools import count
 from typing import final
@@ -56,8 +57,10 @@
         promises: PromiseChecker,
         rng: random.Random,
         lethal_parts: Set[str],
+        others: Sequence[EdgeProcess] = (),
     ) -> None:
         self._lethal_parts = lethal_parts
+        self._others = others
         self._name = name
         self._vm = vm
         self._keys = keys
@@ -85,43 +88,21 @@
 
     async def _call(self, http: HttpStream) -> bool:
         """Make one call; return whether the connection can be reused."""
-        attempt = f"{self._name}-{next(self._call_numbers)}"
+        attempt = self._new_attempt()
         path = self._rng.choice(("/look/", "/book/", "/chat/", "/chat/once/"))
         key = self._rng.choice(self._keys)
         body = f"body of {attempt}".encode()
         parts = self._choose_parts(path)
+        request = _request(f"{path}{attempt}", attempt, key, parts, body)
         repeatable = path in ("/look/", "/chat/")
         self._promises.record_sent(attempt, key, repeatable, self._vm.name)
-        request = h11.Request(
-            method="POST",
-            target=f"{path}{attempt}",
-            headers=[
-                *call_headers(attempt, key, DEADLINE_MS, parts),
-                ("Content-Length", str(len(body))),
-            ],
-        )
-        status, answer, is_complete = 0, b"", False
-        framing = Framing.LENGTH
-        try:
-            with trio.move_on_after(CALL_TIMEOUT_S):
-                await http.send(request, h11.Data(data=body), h11.EndOfMessage())
-                while not is_complete:
-                    event = await http.next_event()
-                    if isinstance(event, h11.Response):
-                        status = event.status_code
-                        framing = framing_of(request.method, event)
-                    elif isinstance(event, h11.Data):
-                        answer += event.data
-                    elif isinstance(event, h11.EndOfMessage):
-                        is_complete = True
-                    elif isinstance(event, h11.ConnectionClosed):
-                        break
-        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
-            is_complete = False
+        status, answer, is_complete, framing = await _exchange(http, request, body)
         fault = _answer_fault(path, body, status, answer) if is_complete else None
         if framing is Framing.UNTIL_CLOSE:
             fault = "expected a length or chunks, got neither"
         self._promises.record_answer(attempt, status if is_complete else 0, fault)
+        if path == "/chat/" and not is_complete and _event_ids(answer):
+            await self._take_up(request, attempt, body, _event_ids(answer)[-1])
         state = http.protocol
         return (
             is_complete
@@ -129,6 +110,43 @@
             and state.their_state is h11.DONE
         )
 
+    def _new_attempt(self) -> str:
+        return f"{self._name}-{next(self._call_numbers)}"
+
+    async def _take_up(
+        self, request: h11.Request, first_attempt: str, body: bytes, last_event: int
+    ) -> None:
+        """Take a broken stream up at any VM; a refusal ends it."""
+        if not self._others:
+            return
+        vm = self._parts_rng.choice(self._others)
+        attempt = self._new_attempt()
+        headers = [
+            (name, attempt.encode() if name == b"x-attempt-id" else value)
+            for name, value in request.headers
+        ]
+        headers += [
+            (b"Resumes", first_attempt.encode()),
+            (b"Last-Event-Id", str(last_event).encode()),
+        ]
+        again = h11.Request(method="POST", target=request.target, headers=headers)
+        try:
+            stream = await trio.open_tcp_stream(*vm.caller_address)
+        except OSError:
+            return
+        key = dict(request.headers)[b"x-key"].decode()
+        self._promises.record_sent(attempt, key, True, vm.name)
+        http = HttpStream(stream, h11.CLIENT, MAX_HEAD_BYTES)
+        try:
+            status, answer, is_complete, _ = await _exchange(http, again, body)
+        finally:
+            await http.close()
+        fault = None
+        expected = list(range(last_event + 1, EVENTS_PER_STREAM + 1))
+        if is_complete and status == 200 and _event_ids(answer) != expected:
+            fault = f"expected events {expected}, got {_event_ids(answer)}"
+        self._promises.record_answer(attempt, status if is_complete else 0, fault)
+
     def _choose_parts(self, path: str) -> tuple[str, ...]:
         """Return the shared parts of a call's prompt; plain calls have none."""
         if not path.startswith("/chat/"):
@@ -139,6 +157,51 @@
         return FIRST_PART, f"subject{rng.randrange(SUBJECTS)}"
 
 
+def _request(
+    target: str, attempt: str, key: str, parts: tuple[str, ...], body: bytes
+) -> h11.Request:
+    return h11.Request(
+        method="POST",
+        target=target,
+        headers=[
+            *call_headers(attempt, key, DEADLINE_MS, parts),
+            ("Content-Length", str(len(body))),
+        ],
+    )
+
+
+async def _exchange(
+    http: HttpStream, request: h11.Request, body: bytes
+) -> tuple[int, bytes, bool, Framing]:
+    """Return status, body and framing of an answer, and whether it is complete."""
+    status, answer, is_complete = 0, b"", False
+    framing = Framing.LENGTH
+    try:
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            await http.send(request, h11.Data(data=body), h11.EndOfMessage())
+            while not is_complete:
+                event = await http.next_event()
+                if isinstance(event, h11.Response):
+                    status = event.status_code
+                    framing = framing_of(request.method, event)
+                elif isinstance(event, h11.Data):
+                    answer += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    is_complete = True
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+    except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+        is_complete = False
+    return status, answer, is_complete, framing
+
+
+def _event_ids(answer: bytes) -> list[int]:
+    """Return the ids of the whole events in a stream."""
+    events = answer.split(b"\n\n")[:-1]
+    lines = (line for event in events for line in event.split(b"\n"))
+    return [int(line[3:]) for line in lines if line.startswith(b"id:")]
+
+
 def _answer_fault(path: str, body: bytes, status: int, answer: bytes) -> str | None:
     """Return what is wrong with a complete answer, or ``None``."""
     if status != 200:
--- a/src/yuccafold/soak/_promises.py
+++ b/src/yuccafold/soak/_promises.py
@@ -26,6 +26,9 @@
 """Calls with a lethal part that may reach targets later than ``CONTACT_TIME`` after
 ``CRASHES_BEFORE_REFUSAL`` crashes, by the users' pages."""
 
+MAX_MIXED_STREAMS = 2
+"""Streams that may hold events of two software versions, by the users' pages."""
+
 CHECK_SLACK = Milliseconds(250)
 """How late this process may observe an event of another process."""
 
@@ -72,6 +75,8 @@
         self._lethal_runs: dict[str, list[tuple[Milliseconds, str]]] = {}
         self._leaving_runs: dict[str, str] = {}
         self._told_leaving: dict[tuple[str, str], Milliseconds] = {}
+        self._stream_versions: dict[str, str] = {}
+        self._mixed_streams: list[str] = []
         self._violations: list[Violation] = []
 
     @property
@@ -148,6 +153,22 @@
         for told in [told for told in self._told_leaving if told[0] == vm]:
             del self._told_leaving[told]
 
+    def record_stream_run(self, first_attempt: str, version: str, after: int) -> None:
+        """Record that a target of ``version`` runs a stream from event ``after`` on.
+
+        ``first_attempt`` is the attempt that brought its first event.
+        """
+        if after == 0:
+            self._stream_versions[first_attempt] = version
+        elif self._stream_versions.get(first_attempt, version) != version:
+            self._mixed_streams.append(first_attempt)
+
+    def check_streams(self) -> None:
+        """Check that streams hold events of targets of one software version."""
+        if len(self._mixed_streams) > MAX_MIXED_STREAMS:
+            seen = f"{len(self._mixed_streams)} went on at another version"
+            self._add_violation("one version", self._mixed_streams[0], seen)
+
     def record_lethal_run(self, part: str, attempt: str) -> None:
         """Record that a target begins to run a call with a part that crashes it."""
         self._lethal_runs.setdefault(part, []).append((self._clock.now(), attempt))
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -81,6 +81,9 @@
 It covers the idle timeout of these connections and the time for calls in progress.
 """
 
+SOFTWARE_VERSIONS = ("v1", "v2")
+"""Half of the targets have each version."""
+
 COPIES = 6
 COPY_PAUSE_S = 0.5
 """The store comes back from a copy that is up to the product of both old."""
@@ -141,6 +144,7 @@
         self._targets_created = 0
         self._version = 0
         self._states: dict[str, str] = {}
+        self._versions: dict[str, str] = {}
         self._copies: deque[StoreCopy] = deque(maxlen=COPIES)
         self._lethal_parts: set[str] = set()
         self._keys = [f"key-{n}" for n in range(KEY_COUNT)]
@@ -161,6 +165,7 @@
             for scope in self._client_scopes:
                 scope.cancel()
             self._promises.check_lethal_parts()
+            self._promises.check_streams()
             self._check_running()
             await self._check_descriptors()
             await self._check_exits()
@@ -194,6 +199,7 @@
                     self._promises,
                     rng,
                     self._lethal_parts,
+                    self._vms,
                 )
                 nursery.start_soon(self._run_client, client)
 
@@ -241,6 +247,7 @@
         relay = Relay(target.server.address)
         await self._nursery.start(relay.serve)
         self._targets[name] = (target, relay)
+        self._versions[name] = SOFTWARE_VERSIONS[self._targets_created % 2]
         self._list_target(name, "ready")
 
     async def _serve_target(
@@ -267,6 +274,7 @@
             self._targets[name][1].address,
             state,
             born_ms=int(name[1:]),
+            version=self._versions[name],
         )
         self._store.list_target(name, entry)
 
@@ -275,6 +283,11 @@
         self._promises.record_run(target, attempt, has_caller_key(request))
         if target in self._targets and self._targets[target][0].leaving:
             self._promises.record_leaving_run(target, attempt)
+        if request.path.startswith("/chat/"):
+            first_attempt = request.header("resumes") or attempt
+            after = int(request.header("last-event-id") or 0)
+            version = self._versions[target]
+            self._promises.record_stream_run(first_attempt, version, after)
         for part in self._lethal_parts.intersection(shared_parts(request)):
             self._promises.record_lethal_run(part, attempt)
 
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -184,3 +184,14 @@
     checker.record_sent("r2", "key-1", repeatable=True, vm="vm-0")
     checker.record_run("t1", "r2", has_caller_key=False)
     assert broken_promises(checker) == []
+
+
+@pytest.mark.parametrize(("mixed", "seen"), [(2, []), (3, ["one version"])])
+def test_streams_that_go_on_at_another_software_version_are_detected(mixed, seen):
+    checker, _ = promise_checker()
+    for number in range(5):
+        checker.record_stream_run(f"s{number}", "v1", after=0)
+        version = "v2" if number < mixed else "v1"
+        checker.record_stream_run(f"s{number}", version, after=2)
+    checker.check_streams()
+    assert broken_promises(checker) == seen
