Forget after a while which software version a restarted target had

What callers saw: nothing yet. A target that restarted under its id at another software version left the streams of its prompts in doubt for good, so that take-ups without a notice would have been refused.

Cause: the version before the restart was kept without an end.

Change: it counts for ten seconds, as all other targets of that time do. The counter streams_taken_up says how VMs knew where streams began.

Evidence: test_restart_at_another_version_is_in_doubt_for_a_while_only failed before.

--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -98,6 +98,8 @@
         time_left = (call.deadline - self._clock.now()) / MS_PER_SECOND
         self._quarantine.begin_trial(call, self._clock.now())
         origin = self._targets.streams.origin(call, self._clock.now())
+        if origin.knowledge is not Knowledge.NEW:
+            self._metrics.count("streams_taken_up", known_by=origin.knowledge.value)
         if origin.version is not None:
             relay.require_version(origin.version)
         try:
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -17,7 +17,6 @@
 from yuccafold.edge._placement import rank
 from yuccafold.edge._view import GONE_TARGET_RETENTION
 from yuccafold.edge._view import KnownTarget
-from yuccafold.edge._view import software_versions
 
 VERSION_WINDOW = GONE_TARGET_RETENTION
 """How long ago a stream that is taken up may have begun; most last one to four seconds.
@@ -47,14 +46,15 @@
     ``present`` are all targets of that time, also those that left.
     """
     first_seen_at = min((known.first_seen_at for known in present), default=now)
-    relevant: list[KnownTarget] = []
+    possible: set[SoftwareVersion] = set()
     for known in rank(key, present):
-        relevant.append(known)
         joined_at = known.first_seen_at
-        was_present = (
-            now - joined_at >= VERSION_WINDOW
-            or joined_at - first_seen_at < LISTED_TOGETHER_WINDOW
-        )
-        if was_present and known.leaving_since is None and known.replaced is None:
+        is_old = now - joined_at >= VERSION_WINDOW
+        possible.add(known.record.software)
+        if known.replaced is not None and not is_old:
+            possible.add(known.replaced)
+            continue
+        was_listed_first = joined_at - first_seen_at < LISTED_TOGETHER_WINDOW
+        if known.leaving_since is None and (is_old or was_listed_first):
             break
-    return software_versions(relevant)
+    return possible
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -213,7 +213,7 @@
         changed = known is None or known.record != record or known.expired
         replaced = None if known is None else known.replaced
         if known is not None and known.record.software != record.software:
-            replaced = known.record.software
+            replaced, first_seen_at = known.record.software, now
         entry = KnownTarget(record, first_seen_at, leaving_since, replaced=replaced)
         changed |= self._hold_departure(entry, now)
         self._targets[record.id] = entry
--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -17,6 +17,7 @@
 from yuccafold.soak._process import EdgeProcess
 from yuccafold.soak._promises import PromiseChecker
 from yuccafold.standins import call_headers
+from yuccafold.standins import take_up_headers
 
 MAX_HEAD_BYTES = 65_536
 CALL_TIMEOUT_S = 8.0
@@ -122,14 +123,14 @@
         vm = self._parts_rng.choice(self._others)
         attempt = self._new_attempt()
         headers = [
-            (name, attempt.encode() if name == b"x-attempt-id" else value)
+            (name.decode(), attempt if name == b"x-attempt-id" else value.decode())
             for name, value in request.headers
         ]
-        headers += [
-            (b"Resumes", first_attempt.encode()),
-            (b"Last-Event-Id", str(last_event).encode()),
-        ]
-        again = h11.Request(method="POST", target=request.target, headers=headers)
+        again = h11.Request(
+            method="POST",
+            target=request.target,
+            headers=[*headers, *take_up_headers(first_attempt, last_event)],
+        )
         try:
             stream = await trio.open_tcp_stream(*vm.caller_address)
         except OSError:
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -42,7 +42,9 @@
 from yuccafold.standins import attempt_of
 from yuccafold.standins import call_headers
 from yuccafold.standins import configuration
+from yuccafold.standins import first_attempt_of
 from yuccafold.standins import has_caller_key
+from yuccafold.standins import last_event_of
 from yuccafold.standins import shared_parts
 
 MAX_SEED_VMS = 3
@@ -284,10 +286,11 @@
         if target in self._targets and self._targets[target][0].leaving:
             self._promises.record_leaving_run(target, attempt)
         if request.path.startswith("/chat/"):
-            first_attempt = request.header("resumes") or attempt
-            after = int(request.header("last-event-id") or 0)
-            version = self._versions[target]
-            self._promises.record_stream_run(first_attempt, version, after)
+            self._promises.record_stream_run(
+                first_attempt_of(request),
+                self._versions[target],
+                last_event_of(request),
+            )
         for part in self._lethal_parts.intersection(shared_parts(request)):
             self._promises.record_lethal_run(part, attempt)
 
--- a/src/yuccafold/standins/__init__.py
+++ b/src/yuccafold/standins/__init__.py
@@ -42,9 +42,12 @@
 from yuccafold.standins._platform_forms import attempt_of
 from yuccafold.standins._platform_forms import call_headers
 from yuccafold.standins._platform_forms import configuration
+from yuccafold.standins._platform_forms import first_attempt_of
 from yuccafold.standins._platform_forms import has_caller_key
+from yuccafold.standins._platform_forms import last_event_of
 from yuccafold.standins._platform_forms import process_settings
 from yuccafold.standins._platform_forms import shared_parts
+from yuccafold.standins._platform_forms import take_up_headers
 from yuccafold.standins._platform_store import PlatformStore
 from yuccafold.standins._platform_store import PlatformStoreSettings
 from yuccafold.standins._platform_store import StoreCopy
@@ -120,6 +123,9 @@
     "call_headers",
     "configuration",
     "has_caller_key",
+    "take_up_headers",
+    "last_event_of",
+    "first_attempt_of",
     "process_settings",
     "shared_parts",
     "prompt_blocks",
--- a/src/yuccafold/standins/_platform_forms.py
+++ b/src/yuccafold/standins/_platform_forms.py
@@ -15,6 +15,8 @@
 ATTEMPT_HEADER = "X-Attempt-Id"
 KEY_HEADER = "X-Key"
 PROMPT_HEADER = "X-Prompt-Prefix"
+RESUMES_HEADER = "Resumes"
+LAST_EVENT_HEADER = "Last-Event-Id"
 
 RequestHeaders = list[tuple[str, str]]
 
@@ -118,6 +120,21 @@
     return request.header(ATTEMPT_HEADER.lower()) or ""
 
 
+def first_attempt_of(request: ServedRequest) -> str:
+    """Return the attempt that brought the first event of a request's stream."""
+    return request.header(RESUMES_HEADER.lower()) or attempt_of(request)
+
+
+def last_event_of(request: ServedRequest) -> int:
+    """Return the id of the last event that the caller of a stream has, 0 if none."""
+    return int(request.header(LAST_EVENT_HEADER.lower()) or 0)
+
+
+def take_up_headers(first_attempt: str, last_event: int) -> RequestHeaders:
+    """Return the headers with which a caller takes a stream up."""
+    return [(RESUMES_HEADER, first_attempt), (LAST_EVENT_HEADER, str(last_event))]
+
+
 def shared_parts(request: ServedRequest) -> tuple[str, ...]:
     """Return the ids of all parts of a call's prompt but the last, which is its own."""
     prompt = request.header(PROMPT_HEADER.lower()) or ""
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -18,6 +18,7 @@
 from yuccafold.standins._http import ServerSettings
 from yuccafold.standins._platform_forms import ATTEMPT_HEADER
 from yuccafold.standins._platform_forms import attempt_of
+from yuccafold.standins._platform_forms import last_event_of
 from yuccafold.standins._platform_forms import shared_parts
 
 MS_PER_SECOND = 1000
@@ -208,7 +209,7 @@
 
     async def _stream(self, exchange: Exchange, headers: Headers) -> None:
         """Send the events after the last one that the caller has received."""
-        first = int(exchange.request.header("last-event-id") or 0) + 1
+        first = last_event_of(exchange.request) + 1
         unframed = self.mode is TargetMode.TEARING_UNFRAMED
         headers += (("Content-Type", "text/event-stream"),)
         await exchange.start(200, headers, unframed=unframed)
--- a/testing/edge/test_stream_origins.py
+++ b/testing/edge/test_stream_origins.py
@@ -27,6 +27,7 @@
 from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._stream_versions import stream_key
 from yuccafold.edge._streams import Streams
+from yuccafold.edge._version_choice import possible_versions
 from yuccafold.edge._version_choice import preferred_version
 from yuccafold.edge._view import PlatformView
 
@@ -256,3 +257,45 @@
     streams = StreamVersions("e1")
     answer = answer_streams(streams, {"vm": "vm-1", "streams": text}, at(0))
     assert answer == {"streams_after": 0, "streams_epoch": "e1"}
+
+
+def view_with(*records):
+    view = PlatformView(at(2_000))
+    for number in range(5):
+        view.put_target(target(f"t{number}", software=V1), at(0))
+    for record, put_at in records:
+        view.put_target(record, at(put_at))
+    return view
+
+
+def preferred_keys(view, version):
+    ready = view.ready(DESK, at(0))
+    keys = [PartId(f"p{number}") for number in range(60)]
+    return [key for key in keys if preferred_version(key, ready) == version]
+
+
+def test_restart_at_another_version_is_in_doubt_for_a_while_only():
+    restarted = target("t0", software=V2, born_ms=9_000)
+    view = view_with((restarted, 20_000))
+    keys = preferred_keys(view, V2)
+    assert keys
+    present = view.present(DESK)
+    for key in keys:
+        assert possible_versions(key, present, at(21_000)) == {V1, V2}
+        assert possible_versions(key, present, at(31_000)) == {V2}
+
+
+def test_three_versions_and_one_that_returns():
+    v3 = SoftwareVersion("v3")
+    view = view_with(
+        (target("t7", software=V2, born_ms=9_000), 20_000),
+        (target("t8", software=v3, born_ms=9_500), 40_000),
+        (target("t9", software=V1, born_ms=9_900), 60_000),
+    )
+    present = view.present(DESK)
+    for version in (V1, V2, v3):
+        keys = preferred_keys(view, version)
+        assert keys
+        assert all(
+            possible_versions(key, present, at(90_000)) == {version} for key in keys
+        )
