Follow a target that starts again with its clock set back

What callers saw: nothing yet. A target that started again under its id with an earlier start time, as its clock had been set back, was not followed: that it drains was ignored.

Starts were ordered by the target's clock, although the store's positions order its writes.

Change: only the first entries of an era, which may be an older copy's, are compared by the time of start.

Evidence: test_target_that_starts_again_with_its_clock_set_back_is_followed failed before; test_entry_of_an_earlier_start_in_a_copy_is_ignored holds the other side.

--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -307,7 +307,6 @@
         known = self._view.position
         self._enter_era(source, state.position)
         changed = self._table.apply_list(state.entries, state.position)
-        changed += self._table.remove_lost()
         log_event(
             "list_read",
             source=source.name,
@@ -319,6 +318,7 @@
             changed=len(changed),
         )
         self._apply_entries(changed)
+        self._apply_entries(self._table.remove_lost())
         return state.age
 
     async def _read_changes(
@@ -467,7 +467,8 @@
         self, record: TargetRecord, entry: Entry, now: Milliseconds
     ) -> None:
         known_born_ms = self._view.born_ms(record.id)
-        if not self._view.put_target(record, now):
+        # The first entries of an era may be older than what this VM saw before.
+        if not self._view.put_target(record, now, is_later=self._table.is_complete):
             return
         if known_born_ms is not None and known_born_ms != record.born_ms:
             self._targets.forget(record.id)
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -193,13 +193,17 @@
         """Return whether ``catalogue`` has the version and content in force."""
         return catalogue == self._catalogue
 
-    def put_target(self, record: TargetRecord, now: Milliseconds) -> bool:
+    def put_target(
+        self, record: TargetRecord, now: Milliseconds, is_later: bool = False
+    ) -> bool:
         """Store a target's record; return whether that changed anything.
 
-        A record of an earlier start of the target is ignored.
+        A record of an earlier start of the target is ignored, unless it ``is_later``:
+        known to be written after the one before, by a target whose clock was set back.
         """
         known = self._targets.get(record.id)
-        if known is not None and known.record.born_ms > record.born_ms > 0:
+        is_earlier_start = known is not None and known.record.born_ms > record.born_ms
+        if is_earlier_start and record.born_ms > 0 and not is_later:
             return False
         first_seen_at = now
         if known is not None and known.record.born_ms == record.born_ms:
--- a/testing/edge/test_store_eras.py
+++ b/testing/edge/test_store_eras.py
@@ -11,6 +11,7 @@
 
 from edge.era_fleet import TrioClock
 from edge.era_fleet import run_fleet
+from yuccafold._ids import TargetId
 from yuccafold.edge import era_of
 
 APPLY_S = 2.0
@@ -353,3 +354,26 @@
 
 async def answer_with(answer):
     return answer
+
+
+def test_target_that_starts_again_with_its_clock_set_back_is_followed():
+    async def scenario(fleet):
+        fleet.list_target("t1", born=500)
+        fleet.list_target("t1", born=500, state="draining")
+        await trio.sleep(1)
+        assert not any("t1" in vm.ready_ids for vm in fleet.vms)
+
+    run_fleet(5, scenario)
+
+
+def test_entry_of_an_earlier_start_in_a_copy_is_ignored():
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        fleet.list_target("t1", born=9_000)
+        await trio.sleep(1)
+        await fleet.lose(copy)
+        await trio.sleep(1)
+        born = {vm.view.born_ms(TargetId("t1")) for vm in fleet.vms}
+        assert born == {9_000}
+
+    run_fleet(5, scenario)
