Read a list again after a pause when the store changes within it

What callers saw: nothing yet. A store that comes back within a list, or answers a list with 410, made the reader list again at once and without end.

Cause: both were handled as lost history, whose remedy is a list.

Change: they count as a store that is unavailable, which is asked again after a pause.

Evidence: test_list_across_a_return_from_a_copy_is_no_list and test_list_that_is_gone_is_unavailable_instead_of_listed_again failed before.

--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -48,6 +48,8 @@
 ALL_KEYS_PREFIX = ""
 GONE_STATUS = 410
 
+LIST_PATH = "/-/kv-range"
+WATCH_PATH = "/-/kv-watch"
 ERA_HEADER = b"store-era"
 ERA_VALUE = re.compile(r"[0-9]{1,9}", re.ASCII)
 
@@ -82,18 +84,18 @@
 
         The pages are read one after the other, and entries may change between them.
         So the position is that of the first page: changes after it are read again.
-        Raises ``HistoryLostError`` if the store comes back from a copy meanwhile.
+        Raises ``PlatformUnavailableError`` if the store comes back older meanwhile.
         """
         entries: list[Entry] = []
         first_position: Position | None = None
         after = ""
         while True:
             query = {"prefix": ALL_KEYS_PREFIX} | ({"after": after} if after else {})
-            page, era = await self._get(self._read_connection, "/-/kv-range", query)
+            page, era = await self._get(self._read_connection, LIST_PATH, query)
             position = position_of(era, _store_revision(page))
             first_position = position if first_position is None else first_position
             if era != era_of(first_position):
-                raise HistoryLostError(f"store is in era {era} within a list")
+                raise PlatformUnavailableError(f"store is in era {era} within a list")
             listed = [_entry(item, era) for item in _items(page, "items")]
             entries += listed
             if page.get("more_pages") is not True or not listed:
@@ -114,7 +116,7 @@
             "wait_ms": wait,
         }
         connection = self._watch_connection if wait else self._read_connection
-        answer, era = await self._get(connection, "/-/kv-watch", query, wait)
+        answer, era = await self._get(connection, WATCH_PATH, query, wait)
         if era > era_of(after):
             raise HistoryLostError(f"store is in era {era}, expected {era_of(after)}")
         position = position_of(era, _store_revision(answer))
@@ -145,7 +147,7 @@
             raise PlatformUnavailableError(str(error)) from error
         named_era = _parse_era(answer.headers)
         era = self._era if named_era is None else named_era
-        if answer.status == GONE_STATUS:
+        if answer.status == GONE_STATUS and path == WATCH_PATH:
             raise HistoryLostError(f"status {answer.status} for {path}")
         if answer.status != 200:
             raise PlatformUnavailableError(f"status {answer.status} for {path}")
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -304,3 +304,26 @@
 def test_software_version_of_a_target_is_parsed(version, software):
     entry = Entry("servers/t1", 5, wire_target("10.0.0.1:80", version=version))
     assert decode(entry).software == software
+
+
+@on_trio
+async def test_list_across_a_return_from_a_copy_is_no_list():
+    async with store_with("t1", "t2", "t3", page_items=2) as (store, source):
+        store.era = 1
+        respond = PlatformStore._list
+
+        async def list_and_return(exchange):
+            await respond(store, exchange)
+            store.return_from(store.copy())
+
+        store._list = list_and_return
+        with pytest.raises(PlatformUnavailableError, match="era 2 within a list"):
+            await source.read_all()
+
+
+@on_trio
+async def test_list_that_is_gone_is_unavailable_instead_of_listed_again():
+    async with store_with() as (store, source):
+        store.refuse_with = 410
+        with pytest.raises(PlatformUnavailableError):
+            await source.read_all()
