Send other VMs only what differs in a later era

What callers saw: nothing. After a return from a copy each VM was sent all entries again by a seed: 33 KB a VM with 85 VMs and 145 targets, 185 KB with 380 and 830, which fills links of 5 Mbit/s for seconds, just when VMs have to learn what changed.

Cause: every entry of the later era was stamped with it.

Change: entries that the later era has unchanged keep their position. A seed that had the state that another VM is at sends it what differs since; otherwise that VM asks another one, or the store.

--- a/src/yuccafold/edge/_entries.py
+++ b/src/yuccafold/edge/_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import final
@@ -40,9 +41,10 @@
 class EntryTable:
     """Holds the latest entry of each key, with a limited number of removed keys.
 
-    Entries may arrive out of order and repeatedly; the highest position wins. Entries
+    Entries may arrive out of order and repeatedly; the highest position wins. Changes
     of an earlier era than the table's are ignored: the store has lost them, or writes
-    them again in its present era.
+    them again in its present era. Entries that a later era has unchanged keep their
+    position, so that they are not sent to other VMs again.
     """
 
     def __init__(self) -> None:
@@ -50,7 +52,7 @@
         self._earlier_versions: dict[str, deque[Entry]] = {}
         self._position = START
         self._forgotten = START
-        self._is_complete = True
+        self._era_ends: dict[StoreEra, Position] = {}
         self._in_force: SettingsInForce | None = None
 
     @property
@@ -63,11 +65,6 @@
         """The era of the position."""
         return era_of(self._position)
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether no entries of an earlier era are left to be read again."""
-        return self._is_complete
-
     @property
     def in_force(self) -> SettingsInForce | None:
         """The configuration in force; other VMs are told if the store lost it."""
@@ -77,44 +74,21 @@
         """Record the configuration in force."""
         self._in_force = settings
 
-    def begin_era(self) -> None:
-        """Record that the entries are about to be replaced by those of a later era."""
-        self._is_complete = False
-
-    def remove_lost(self) -> list[Entry]:
-        """End ``begin_era``: remove the entries that the later era doesn't have.
-
-        To be called once all changes of the later era were applied; returns the
-        removals.
-        """
-        self._is_complete = True
-        lost = [
-            Entry(entry.key, self._position, None)
-            for entry in self._entries.values()
-            if entry.value is not None and era_of(entry.position) < self.era
-        ]
-        return self.apply_changes(lost, self._position)
-
     def apply_changes(
         self, entries: Iterable[Entry], position: Position
     ) -> list[Entry]:
         """Apply changes up to ``position``; return those that are new."""
-        new = [entry for entry in entries if self._is_new(entry)]
-        for entry in new:
-            self._keep_current_version(entry.key)
-            self._entries[entry.key] = entry
-        self._position = max(self._position, position)
-        self._forget_removed()
-        return new
+        current = [entry for entry in entries if era_of(entry.position) >= self.era]
+        return self._apply(current, position)
 
-    def apply_list(self, entries: Iterable[Entry], position: Position) -> list[Entry]:
+    def apply_list(self, entries: Collection[Entry], position: Position) -> list[Entry]:
         """Apply a complete list of entries; return the changes.
 
         Keys that aren't in the list are returned as removed, unless they are newer
         than the list.
         """
-        listed = list(entries)
-        listed_keys = {entry.key for entry in listed}
+        listed = [entry for entry in entries if not self._is_carried_over(entry)]
+        listed_keys = {entry.key for entry in entries}
         missing = [
             Entry(key, position, None)
             for key, entry in self._entries.items()
@@ -122,7 +96,7 @@
             and entry.value is not None
             and entry.position <= position
         ]
-        return self.apply_changes([*listed, *missing], position)
+        return self._apply([*listed, *missing], position)
 
     def version_at(self, key: str, position: Position) -> Entry | None:
         """Return the entry of ``key`` as of ``position``.
@@ -136,9 +110,10 @@
     def changes_since(self, after: Position) -> list[Entry] | None:
         """Return the changes after ``after``.
 
-        Returns ``None`` if some of them are forgotten.
+        Returns ``None`` if some of them are forgotten, or if ``after`` is a state of an
+        earlier era that this table has not had.
         """
-        if after < self._forgotten:
+        if after < self._forgotten or not self._has_had(after):
             return None
         changed = (entry for entry in self._entries.values() if entry.position > after)
         return sorted(changed, key=lambda entry: entry.position)
@@ -147,6 +122,17 @@
         """Return the entries that were not removed."""
         return [entry for entry in self._entries.values() if entry.value is not None]
 
+    def _apply(self, entries: Iterable[Entry], position: Position) -> list[Entry]:
+        new = [entry for entry in entries if self._is_new(entry)]
+        if era_of(position) > self.era:
+            self._era_ends[self.era] = self._position
+        for entry in new:
+            self._keep_current_version(entry.key)
+            self._entries[entry.key] = entry
+        self._position = max(self._position, position)
+        self._forget_removed()
+        return new
+
     def _current(self, key: str) -> list[Entry]:
         entry = self._entries.get(key)
         return [] if entry is None else [entry]
@@ -160,9 +146,21 @@
                 )
                 kept.append(entry)
 
+    def _has_had(self, position: Position) -> bool:
+        """Return whether the table has had the state at ``position``."""
+        era = era_of(position)
+        return era >= self.era or position <= self._era_ends.get(era, START)
+
+    def _is_carried_over(self, entry: Entry) -> bool:
+        """Return whether a listed entry is known unchanged from an earlier era."""
+        known = self._entries.get(entry.key)
+        return (
+            known is not None
+            and era_of(known.position) < era_of(entry.position)
+            and known.value == entry.value
+        )
+
     def _is_new(self, entry: Entry) -> bool:
-        if era_of(entry.position) < self.era:
-            return False
         known = self._entries.get(entry.key)
         if known is None:
             return entry.value is not None or entry.position > self._forgotten
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -275,7 +275,7 @@
             fields = total.as_fields(now) | self._exchanged(query, now)
             return 200, json.dumps(fields | self._newer_settings(query))
         age = self._view.age(now)
-        if age is None or not self._table.is_complete:
+        if age is None:
             return 503, "no view yet\n"
         self._record_report(query, now)
         position = self._requested_position(query)
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -284,8 +284,6 @@
                 started = self._clock.now()
                 changes = await self._read_changes(source, NO_WAIT)
             age = changes.age
-            if not self._table.is_complete:
-                self._apply_entries(self._table.remove_lost())
             if source is self._store:
                 self._check_watch(bool(changes.entries))
             elif changes.position < known:
@@ -318,7 +316,6 @@
             changed=len(changed),
         )
         self._apply_entries(changed)
-        self._apply_entries(self._table.remove_lost())
         return state.age
 
     async def _read_changes(
@@ -372,7 +369,6 @@
                 version=self._view.version,
                 view_age_ms=self._view.age(now),
             )
-        self._table.begin_era()
         self._view.begin_era(era, now)
         if self._watch is not None:
             # It waits for revisions of the earlier era.
@@ -467,8 +463,9 @@
         self, record: TargetRecord, entry: Entry, now: Milliseconds
     ) -> None:
         known_born_ms = self._view.born_ms(record.id)
-        # The first entries of an era may be older than what this VM saw before.
-        if not self._view.put_target(record, now, is_later=self._table.is_complete):
+        # The first entry of an era may be older than what this VM saw before.
+        is_later = self._view.was_put_in_era(record.id)
+        if not self._view.put_target(record, now, is_later):
             return
         if known_born_ms is not None and known_born_ms != record.born_ms:
             self._targets.forget(record.id)
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -16,6 +16,7 @@
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
 from yuccafold.edge._positions import FIRST_ERA
+from yuccafold.edge._positions import NO_ERA
 from yuccafold.edge._positions import START
 from yuccafold.edge._positions import Position
 from yuccafold.edge._positions import StoreEra
@@ -52,7 +53,8 @@
     when entries may expire although their targets still run. ``unconfirmed_until`` is
     set if the target had left before the store came back from an older copy: until
     then, its entry may be one that the store has not removed again yet. ``replaced`` is
-    the software version of the start before, if it was another one.
+    the software version of the start before, if it was another one. ``era`` is that in
+    which the record was read.
     """
 
     record: TargetRecord
@@ -61,6 +63,7 @@
     expired: bool = False
     unconfirmed_until: Milliseconds | None = None
     replaced: SoftwareVersion | None = None
+    era: StoreEra = NO_ERA
 
 
 @final
@@ -218,7 +221,9 @@
         replaced = None if known is None else known.replaced
         if known is not None and known.record.software != record.software:
             replaced, first_seen_at = known.record.software, now
-        entry = KnownTarget(record, first_seen_at, leaving_since, replaced=replaced)
+        entry = KnownTarget(
+            record, first_seen_at, leaving_since, replaced=replaced, era=self.era
+        )
         changed |= self._hold_departure(entry, now)
         self._targets[record.id] = entry
         self._rebuild_index()
@@ -266,6 +271,11 @@
             entry.unconfirmed_until = Milliseconds(began_at + self._lapse_time)
         return True
 
+    def was_put_in_era(self, target: TargetId) -> bool:
+        """Return whether a target's record was read in the present era."""
+        known = self._targets.get(target)
+        return known is not None and known.era == self.era
+
     def born_ms(self, target: TargetId) -> int | None:
         """Return the Unix time of a target's start, ``None`` for an unknown target."""
         known = self._targets.get(target)
--- a/testing/edge/test_entries.py
+++ b/testing/edge/test_entries.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from yuccafold.edge import Entry
+from yuccafold.edge import position_of
 from yuccafold.edge._entries import MAX_REMEMBERED_REMOVALS
 from yuccafold.edge._entries import EntryTable
 
@@ -80,3 +81,45 @@
     caught_up.apply_changes(in_order.changes_since(half), len(changes))
     for table in (out_of_order, caught_up):
         assert sorted(table.present(), key=str) == sorted(in_order.present(), key=str)
+
+
+def entry(key, era, revision, value):
+    return Entry(key, position_of(era, revision), value)
+
+
+def table_in_later_era():
+    table = EntryTable()
+    table.apply_list(
+        [entry("a", 1, 5, b"1"), entry("b", 1, 6, b"1"), entry("c", 1, 7, b"1")],
+        position_of(1, 7),
+    )
+    table.apply_changes([entry("b", 1, 9, b"2")], position_of(1, 9))
+    changed = table.apply_list(
+        [entry("a", 2, 5, b"1"), entry("b", 2, 6, b"1")], position_of(2, 7)
+    )
+    return table, changed
+
+
+def test_list_of_a_later_era_changes_only_what_differs():
+    table, changed = table_in_later_era()
+    assert changed == [entry("b", 2, 6, b"1"), entry("c", 2, 7, None)]
+    assert table.position == position_of(2, 7)
+
+
+def test_other_vms_are_sent_only_what_differs_in_a_later_era():
+    table, changed = table_in_later_era()
+    assert table.changes_since(position_of(1, 9)) == changed
+
+
+def test_state_of_an_earlier_era_that_was_not_read_is_unknown():
+    table, _ = table_in_later_era()
+    assert table.changes_since(position_of(1, 10)) is None
+    assert table.changes_since(position_of(0, 3)) is None
+    assert EntryTable().changes_since(position_of(0, 0)) == []
+
+
+def test_change_of_an_earlier_era_is_ignored():
+    table, _ = table_in_later_era()
+    late = [entry("d", 1, 99, b"1"), entry("a", 1, 99, b"9")]
+    assert table.apply_changes(late, position_of(1, 99)) == []
+    assert table.position == position_of(2, 7)
