Lose settings and entries in the soak's returns from copies

What callers saw: nothing.

Change: before each return 500 unused writes, the next configuration and all entries are written, which the copy lacks.

--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -90,6 +90,10 @@
 COPY_PAUSE_S = 0.5
 """The store comes back from a copy that is up to the product of both old."""
 
+UNUSED_KEY = "op/notes"
+LOST_WRITES = 500
+"""Writes that each return loses, so that revisions stay below those before for long."""
+
 PAUSES_BETWEEN_RETURNS = (6, 20)
 LATEST_KEY = "key-latest"
 SETTINGS_TRIES = 20
@@ -335,6 +339,7 @@
                 self._copies.append(self._store.copy())
                 await trio.sleep(COPY_PAUSE_S)
             self._report.faults[FaultKind.STORE_OLDER] += 1
+            self._write_what_is_lost()
             away_s = rng.uniform(0.05, 1.0)
             for vm in self._vms:
                 self._promises.record_disconnection(vm.name, seconds(away_s))
@@ -349,6 +354,15 @@
             finally:
                 self._write_again()
 
+    def _write_what_is_lost(self) -> None:
+        """Write the next configuration and all entries, at revisions far ahead."""
+        for number in range(LOST_WRITES):
+            self._store.put(UNUSED_KEY, str(number).encode())
+        self._version += 1
+        self._write_configuration()
+        for name in self._targets:
+            self._list_target(name, self._states[name])
+
     def _write_again(self) -> None:
         """Write what the store may have lost; entries of ended targets expire."""
         self._write_configuration()
