Tell a VM that starts which targets left before

Cause: a VM that started since knew only the targets of now. All streams of a prompt seemed to have begun at the version of the target that ranks first now, although it was the version of one that had crashed and left 350 ms before the VM started.

Change: a VM that starts asks other VMs once for the targets that left in the last ten seconds. Until it heard of them, it takes up only streams that it was told of, for ten seconds at most.

--- a/src/yuccafold/edge/_stream_exchange.py
+++ b/src/yuccafold/edge/_stream_exchange.py
@@ -15,6 +15,8 @@
 STREAMS_FIELD = "streams"
 POSITION_FIELD = "streams_after"
 EPOCH_FIELD = "streams_epoch"
+DEPARTED_FIELD = "departed"
+"""Asked for by a VM that started since: the targets that left lately."""
 
 
 @final
@@ -36,6 +38,7 @@
             POSITION_FIELD: self._heard,
             EPOCH_FIELD: self._peer_epoch,
             **({STREAMS_FIELD: json.dumps(rows)} if rows else {}),
+            **({DEPARTED_FIELD: 1} if self._streams.departed is None else {}),
         }
 
     def record_answer(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
@@ -48,6 +51,8 @@
             return
         epoch = str(fields[EPOCH_FIELD])
         self._streams.merge(fields.get(STREAMS_FIELD, {}), self._peer, now)
+        if DEPARTED_FIELD in fields:
+            self._streams.record_departed(fields[DEPARTED_FIELD], now)
         self._heard = int(fields[POSITION_FIELD])
         is_new_start = self._peer_epoch not in ("", epoch)
         self._sent = NOTHING_TOLD if is_new_start else self._sending
@@ -75,4 +80,9 @@
         POSITION_FIELD: position,
         EPOCH_FIELD: streams.epoch,
         **({STREAMS_FIELD: rows} if rows else {}),
+        **(
+            {DEPARTED_FIELD: streams.departed_rows(now)}
+            if DEPARTED_FIELD in fields
+            else {}
+        ),
     }
--- a/src/yuccafold/edge/_stream_versions.py
+++ b/src/yuccafold/edge/_stream_versions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
@@ -16,6 +17,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
 from yuccafold._ids import ServiceId
+from yuccafold._ids import TargetId
 from yuccafold.edge._model import PartId
 from yuccafold.edge._model import SoftwareVersion
 
@@ -60,6 +62,17 @@
     told_by: str
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class DepartedTarget:
+    """A target that left before a VM started, which it has to hear of from others."""
+
+    id: TargetId
+    service: ServiceId
+    version: SoftwareVersion
+    left_at: Milliseconds
+
+
 def stream_key(call: CallId) -> StreamKey:
     """Return the key of the stream that ``call`` began."""
     return StreamKey(blake2b(call.encode(), digest_size=KEY_BYTES).hexdigest())
@@ -70,13 +83,17 @@
     """The streams of this VM, and those that other VMs told of.
 
     ``is_evident`` returns whether any VM can tell the version of a stream by itself.
+    ``list_departed`` returns the targets that left lately, as this VM saw them.
     """
 
     def __init__(
         self,
         epoch: str = "",
         is_evident: Callable[[StreamBegin, Milliseconds], bool] = lambda *_: True,
+        list_departed: Callable[[], Sequence[DepartedTarget]] = tuple,
     ) -> None:
+        self._list_departed = list_departed
+        self._departed: tuple[DepartedTarget, ...] | None = None
         self._epoch = epoch
         self._is_evident = is_evident
         self._own: dict[StreamKey, tuple[StreamBegin, Milliseconds]] = {}
@@ -89,6 +106,30 @@
         """Identifies this start of the VM, with which positions begin anew."""
         return self._epoch
 
+    @property
+    def departed(self) -> tuple[DepartedTarget, ...] | None:
+        """The targets that left before this VM started; ``None`` before it heard."""
+        return self._departed
+
+    def record_departed(self, rows: Any, now: Milliseconds) -> None:
+        """Record what another VM saw leave; raises ``ValueError`` if malformed."""
+        self._departed = tuple(
+            DepartedTarget(
+                TargetId(str(id)),
+                ServiceId(str(service)),
+                SoftwareVersion(str(version)),
+                Milliseconds(now - int(age)),
+            )
+            for id, service, version, age in rows
+        )
+
+    def departed_rows(self, now: Milliseconds) -> list[list[str | int]]:
+        """Return ``[id, service, version, age]`` of each target that left lately."""
+        return [
+            [target.id, target.service, target.version, now - target.left_at]
+            for target in (*self._list_departed(), *(self._departed or ()))
+        ]
+
     def begin(self, key: StreamKey, stream: StreamBegin, now: Milliseconds) -> bool:
         """Record a stream's first event; return whether other VMs must be told."""
         self._own[key] = (stream, now)
--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -9,18 +9,23 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
 from yuccafold._ids import ServiceId
+from yuccafold._ids import ZoneId
 from yuccafold._log import log_event
 from yuccafold.edge._call import Call
 from yuccafold.edge._model import PartId
 from yuccafold.edge._model import Repeatability
 from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._model import TargetState
+from yuccafold.edge._stream_versions import DepartedTarget
 from yuccafold.edge._stream_versions import StreamBegin
 from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._stream_versions import stream_key
+from yuccafold.edge._version_choice import VERSION_WINDOW
 from yuccafold.edge._version_choice import choice_key
 from yuccafold.edge._version_choice import possible_versions
 from yuccafold.edge._version_choice import preferred_version
+from yuccafold.edge._view import KnownTarget
 from yuccafold.edge._view import PlatformView
 from yuccafold.edge._view import software_versions
 
@@ -55,9 +60,11 @@
 class Streams:
     """The origins of the streams that calls take up, by what this VM knows."""
 
-    def __init__(self, view: PlatformView, epoch: str) -> None:
+    def __init__(self, view: PlatformView, epoch: str, has_peers: bool = False) -> None:
         self._view = view
-        self._versions = StreamVersions(epoch, self._is_evident)
+        self._has_peers = has_peers
+        self._first_asked_at: Milliseconds | None = None
+        self._versions = StreamVersions(epoch, self._is_evident, self._list_departed)
 
     @property
     def versions(self) -> StreamVersions:
@@ -117,7 +124,7 @@
                 if version is not None:
                     return StreamOrigin(version, knowledge)
         possible = self._possible_versions(call.service, choice_key(call.head), now)
-        if len(possible) == 1:
+        if len(possible) == 1 and self._knows_past(now):
             return StreamOrigin(possible.pop(), Knowledge.EVIDENT)
         return StreamOrigin(None, Knowledge.UNKNOWN)
 
@@ -128,10 +135,48 @@
     def _possible_versions(
         self, service: ServiceId, key: PartId, now: Milliseconds
     ) -> set[SoftwareVersion]:
-        present = self._view.present(service)
-        if not self._view.is_mixed(service):
+        departed = [
+            _as_known(target)
+            for target in self._versions.departed or ()
+            if target.service == service and now - target.left_at < VERSION_WINDOW
+        ]
+        present = [*self._view.present(service), *departed]
+        if not departed and not self._view.is_mixed(service):
             return software_versions(present)
-        return possible_versions(key, present, now)
+        return possible_versions(key, present, self._view.first_listed_at, now)
+
+    def _knows_past(self, now: Milliseconds) -> bool:
+        """Return whether this VM knows which targets left before it started."""
+        if not self._has_peers or self._versions.departed is not None:
+            return True
+        if self._first_asked_at is None:
+            self._first_asked_at = now
+        return now - self._first_asked_at >= VERSION_WINDOW
+
+    def _list_departed(self) -> list[DepartedTarget]:
+        return [
+            DepartedTarget(
+                known.record.id,
+                known.record.service,
+                known.record.software,
+                known.leaving_since or Milliseconds(0),
+            )
+            for known in self._view.departed()
+        ]
+
+
+def _as_known(target: DepartedTarget) -> KnownTarget:
+    """Return a target that left before this VM started, for the ranking only."""
+    record = TargetRecord(
+        target.id,
+        target.service,
+        address="",
+        zone=ZoneId(""),
+        slots=0,
+        state=TargetState.DRAINING,
+        software=target.version,
+    )
+    return KnownTarget(record, target.left_at, leaving_since=target.left_at)
 
 
 def _first_call(call: Call) -> CallId | None:
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -47,7 +47,8 @@
         self._view = view
         self._health = TargetHealth()
         self._epoch = f"{rng.getrandbits(32):08x}"
-        self._streams = Streams(view, self._epoch)
+        has_peers = any(seed != settings.peers for seed in settings.seeds)
+        self._streams = Streams(view, self._epoch, has_peers)
         self._evidence = TargetEvidence(
             limits=TargetLimits(rng),
             quarantine=Quarantine(quarantine_settings(settings, self._epoch)),
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -23,7 +23,7 @@
 Targets that left are known for so long."""
 
 LISTED_TOGETHER_WINDOW = Milliseconds(500)
-"""Targets that were first seen within this time of the first one may be older."""
+"""Targets that a VM listed within this time of its first one may have joined before."""
 
 
 def choice_key(head: CallHead) -> PartId:
@@ -39,13 +39,16 @@
 
 
 def possible_versions(
-    key: PartId, present: Sequence[KnownTarget], now: Milliseconds
+    key: PartId,
+    present: Sequence[KnownTarget],
+    first_listed_at: Milliseconds,
+    now: Milliseconds,
 ) -> set[SoftwareVersion]:
     """Return the versions that were preferred at some time in the last window.
 
-    ``present`` are all targets of that time, also those that left.
+    ``present`` are all targets of that time, also those that left. This VM listed
+    targets for the first time at ``first_listed_at``.
     """
-    first_seen_at = min((known.first_seen_at for known in present), default=now)
     possible: set[SoftwareVersion] = set()
     for known in rank(key, present):
         joined_at = known.first_seen_at
@@ -54,7 +57,7 @@
         if known.replaced is not None and not is_old:
             possible.add(known.replaced)
             continue
-        was_listed_first = joined_at - first_seen_at < LISTED_TOGETHER_WINDOW
+        was_listed_first = joined_at - first_listed_at < LISTED_TOGETHER_WINDOW
         if known.leaving_since is None and (is_old or was_listed_first):
             break
     return possible
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -109,6 +109,7 @@
         self._targets: dict[TargetId, KnownTarget] = {}
         self._by_service: dict[ServiceId, list[KnownTarget]] = {}
         self._mixed_services: set[ServiceId] = set()
+        self._first_listed_at: Milliseconds | None = None
         self._confirmed_at: Milliseconds | None = None
         self._outage_until = Milliseconds(0)
         self._position = START
@@ -121,6 +122,11 @@
         """The catalogue in force."""
         return self._catalogue
 
+    @property
+    def first_listed_at(self) -> Milliseconds:
+        """When targets were listed for the first time; 0 before."""
+        return self._first_listed_at or Milliseconds(0)
+
     @property
     def leaving(self) -> LeavingTargets:
         """The targets that said in their answers that they are about to stop."""
@@ -204,6 +210,8 @@
         A record of an earlier start of the target is ignored, unless it ``is_later``:
         known to be written after the one before, by a target whose clock was set back.
         """
+        if self._first_listed_at is None:
+            self._first_listed_at = now
         known = self._targets.get(record.id)
         is_earlier_start = known is not None and known.record.born_ms > record.born_ms
         if is_earlier_start and record.born_ms > 0 and not is_later:
@@ -325,6 +333,12 @@
         """Return all targets that may still hold prompts, including leaving ones."""
         return self._by_service.get(service, [])
 
+    def departed(self) -> list[KnownTarget]:
+        """Return the targets that left lately."""
+        return [
+            known for known in self._targets.values() if known.leaving_since is not None
+        ]
+
     def is_mixed(self, service: ServiceId) -> bool:
         """Return whether targets of a service have, or lately had, several versions."""
         return service in self._mixed_services
--- a/testing/edge/test_stream_origins.py
+++ b/testing/edge/test_stream_origins.py
@@ -12,12 +12,19 @@
 import pytest
 
 from edge.builders import DESK
+from edge.builders import catalogue
+from edge.builders import prompt
+from edge.builders import route
 from edge.builders import target
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
+from yuccafold.edge import CallHead
 from yuccafold.edge import PartId
+from yuccafold.edge import Repeatability
 from yuccafold.edge import SoftwareVersion
 from yuccafold.edge import TargetState
+from yuccafold.edge._call import Call
+from yuccafold.edge._gate import Admitted
 from yuccafold.edge._stream_exchange import StreamExchange
 from yuccafold.edge._stream_exchange import answer_streams
 from yuccafold.edge._stream_versions import MAX_ROWS
@@ -26,6 +33,7 @@
 from yuccafold.edge._stream_versions import StreamBegin
 from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._stream_versions import stream_key
+from yuccafold.edge._streams import Knowledge
 from yuccafold.edge._streams import Streams
 from yuccafold.edge._version_choice import possible_versions
 from yuccafold.edge._version_choice import preferred_version
@@ -281,8 +289,8 @@
     assert keys
     present = view.present(DESK)
     for key in keys:
-        assert possible_versions(key, present, at(21_000)) == {V1, V2}
-        assert possible_versions(key, present, at(31_000)) == {V2}
+        assert possible_versions(key, present, at(0), at(21_000)) == {V1, V2}
+        assert possible_versions(key, present, at(0), at(31_000)) == {V2}
 
 
 def test_three_versions_and_one_that_returns():
@@ -297,5 +305,46 @@
         keys = preferred_keys(view, version)
         assert keys
         assert all(
-            possible_versions(key, present, at(90_000)) == {version} for key in keys
+            possible_versions(key, present, at(0), at(90_000)) == {version}
+            for key in keys
         )
+
+
+def test_vm_that_started_since_knows_targets_that_left_before():
+    old, fresh = (Streams(PlatformView(at(2_000)), name, True) for name in "ab")
+    for number in range(5):
+        old._view.put_target(target(f"t{number}", software=V1), at(0))
+        fresh._view.put_target(target(f"n{number}", software=V2), at(20_500))
+        old._view.put_target(target(f"n{number}", software=V2), at(18_000))
+    ready = old._view.ready(DESK, at(18_000))
+    keys = [PartId(f"p{number}") for number in range(40)]
+    began_at_v1 = [key for key in keys if preferred_version(key, ready) == V1]
+    for number in range(5):
+        old._view.remove_target(target(f"t{number}").id, at(20_000))
+    call = resumable_call(began_at_v1[0])
+    assert fresh.origin(call, at(20_600)).knowledge is Knowledge.UNKNOWN
+    exchange = StreamExchange(fresh.versions, "seed")
+    exchange_once(fresh.versions, exchange, old.versions, 20_700)
+    for key in began_at_v1:
+        assert V1 in fresh._possible_versions(DESK, key, at(20_800))
+    assert fresh.origin(call, at(20_800)).knowledge is Knowledge.UNKNOWN
+    assert "departed" not in exchange.query(at(20_900))
+    began_at_v2 = [
+        key for key in keys if fresh._possible_versions(DESK, key, at(20_800)) == {V2}
+    ]
+    assert began_at_v2
+    assert not set(began_at_v1).intersection(began_at_v2)
+
+
+def resumable_call(part):
+    head = CallHead(
+        CallId("a2"),
+        at(3_000),
+        None,
+        prompt=prompt((part, 100), ("own", 10)),
+        resumes=CallId("a1"),
+    )
+    admitted = Admitted(
+        catalogue(), route(repeatability=Repeatability.RESUMABLE, streams=True), None
+    )
+    return Call(head, admitted, DESK, b"POST", b"/", (), b"", at(0), at(3_000))
