Write again in the soak what the store lost, also at the end of its faults

What callers saw: nothing.

Cause: the fault ended while the store was away, and its cancellation skipped the writes.

Change: they are a task of their own, which outlives the fault.

--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -349,10 +349,7 @@
             finally:
                 self._store.return_from(self._copies[0])
                 self._store.refuse_with = None
-            try:
-                await trio.sleep(rng.uniform(0, 0.4))
-            finally:
-                self._write_again()
+                self._nursery.start_soon(self._write_again, rng.uniform(0, 0.4))
 
     def _write_what_is_lost(self) -> None:
         """Write the next configuration and all entries, at revisions far ahead."""
@@ -363,8 +360,9 @@
         for name in self._targets:
             self._list_target(name, self._states[name])
 
-    def _write_again(self) -> None:
+    async def _write_again(self, delay_s: float) -> None:
         """Write what the store may have lost; entries of ended targets expire."""
+        await trio.sleep(delay_s)
         self._write_configuration()
         for name in self._targets:
             self._list_target(name, self._states[name])
