List a key that works for too long after a copy was confirmed

Cause: a view that is read right after the store came back from a copy counts as confirmed, although the copy may lack that a key was taken away. If VMs lose the store again before it is written again, the key works for its lifetime from then on.

--- a/testing/edge/test_store_eras.py
+++ b/testing/edge/test_store_eras.py
@@ -19,6 +19,7 @@
 """Three heartbeat intervals, and the time in which entries come back."""
 
 READS_PER_S = 2_000
+KEY_LIFETIME_S = 5.0
 
 
 def change_all(fleet):
@@ -377,3 +378,26 @@
         assert born == {9_000}
 
     run_fleet(5, scenario)
+
+
+def test_key_taken_away_unseen_lapses_though_a_copy_was_confirmed():
+    async def scenario(fleet):
+        def cut(is_cut):
+            for vm in fleet.vms:
+                vm.store_line.is_cut = is_cut
+
+        copy = fleet.store.copy()
+        cut(is_cut=True)
+        fleet.configure(5, "/kept/", keys=("b",))
+        taken_away_at = trio.current_time()
+        await trio.sleep(0.7)
+        fleet.store.return_from(copy)
+        cut(is_cut=False)
+        await trio.sleep(1.0)
+        cut(is_cut=True)
+        # All VMs read the copy, then lost the store again.
+        while trio.current_time() < taken_away_at + KEY_LIFETIME_S:
+            await trio.sleep(0.01)
+        assert all(vm.status("/kept/", "a") != 200 for vm in fleet.vms)
+
+    run_fleet(5, scenario)
