Confirm API keys by a copy of the store only once lost settings had time to return

Callers could use a key for 6.4 s after it was taken away, where 5 s are allowed: it was taken away while no VM reached the store, the store came back from a copy that still had it, VMs read the copy, which confirmed their view, and lost the store again.

Cause: reading an older copy confirmed the view from the time of the read, although a copy can't confirm what it may have lost. Now the age of keys is kept apart from the age of the view. A VM that did not follow the store until the return (an outage, or a view older than the time in which settings must be in force) counts keys from the last confirmation before, for as long as lost settings may take to be written again. Seeds report the age of keys beside that of the view (keys_age_ms); an earlier build reports none, and the age of its view is taken.

What tells this from a store that changes its era without an outage, for which good keys must not expire, is that outage; revisions can't. Ruled out: not confirming keys after each return, as test_store_whose_era_goes_down_is_not_believed then refuses good keys.

What remains: a key taken away within one confirmation interval before a return that no VM saw as an outage; settings that are written again later than assumed.

--- a/src/yuccafold/edge/_gate.py
+++ b/src/yuccafold/edge/_gate.py
@@ -20,6 +20,7 @@
 from yuccafold.edge._positions import StoreEra
 from yuccafold.edge._positions import revision_of
 from yuccafold.edge._settings import EdgeSettings
+from yuccafold.edge._view import LOST_SETTINGS_SHARE
 from yuccafold.edge._view import PlatformView
 
 KEY_LIFETIME_MARGIN = Milliseconds(100)
@@ -29,10 +30,6 @@
 """Share of the lifetime of keys after which this VM reports not ready: by then two
 confirmations of the view have failed."""
 
-LOST_SETTINGS_SHARE = 0.5
-"""Share of the time in which a configuration has to take effect, for which one that the
-store lost may not be written again. The rest is left for noticing the loss."""
-
 RETRY_AFTER_START = Milliseconds(500)
 """Retry delay while this VM has no configuration. If all VMs started at once, a long
 configuration takes half a second on a slow link, and no other VM has it sooner."""
@@ -100,7 +97,7 @@
             return False
         if catalogue.accounts is None or not self._settings.fails_closed:
             return True
-        age = self._view.age(now)
+        age = self._view.keys_age(now)
         limit = self._settings.key_lifetime * READY_KEY_LIFETIME_SHARE
         return age is not None and age <= limit
 
@@ -133,7 +130,7 @@
         return Ok(Admitted(catalogue, route, account))
 
     def _keys_expired(self, now: Milliseconds) -> bool:
-        age = self._view.age(now)
+        age = self._view.keys_age(now)
         if age is None:
             return True
         lifetime = self._settings.key_lifetime - KEY_LIFETIME_MARGIN
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -61,6 +61,7 @@
 REPORTS_PATH = "/reports"
 
 ERA_FIELD = "era"
+KEYS_AGE_FIELD = "keys_age_ms"
 SETTINGS_FIELD = "settings"
 
 MAX_ANSWER_BYTES = 16_384
@@ -107,7 +108,9 @@
     async def read_all(self) -> PlatformState:
         """Return all entries of the other VM."""
         changes, _ = await self._get(VIEW_PATH, VmReport())
-        return PlatformState(changes.entries, changes.position, changes.age)
+        return PlatformState(
+            changes.entries, changes.position, changes.age, changes.keys_age
+        )
 
     async def changes(self, after: Position, wait: Milliseconds) -> PlatformChanges:
         """Return the changes after ``after`` at the other VM, without waiting."""
@@ -183,6 +186,7 @@
                 bool(answer["in_outage"]),
                 not answer.get("more", False),
                 self._settings(answer),
+                Milliseconds(int(answer.get(KEYS_AGE_FIELD, answer["age_ms"]))),
             )
             if "loads" in answer:
                 now = self._clock.now()
@@ -282,6 +286,7 @@
         changed = self._table.changes_since(position) if position else None
         value: dict[str, Any] = {
             "age_ms": age,
+            KEYS_AGE_FIELD: self._keys_age(age, now),
             "in_outage": self._view.in_outage(now),
             "whole": changed is None,
             "position": revision_of(self._table.position),
@@ -302,6 +307,10 @@
                 del row[ERA_FIELD]
         return 200, json.dumps(value | {"entries": rows})
 
+    def _keys_age(self, view_age: Milliseconds, now: Milliseconds) -> Milliseconds:
+        keys_age = self._view.keys_age(now)
+        return view_age if keys_age is None else keys_age
+
     def _requested_position(self, query: dict[str, str]) -> Position:
         """Return the position of the requesting VM; one of an earlier build has no era.
 
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -53,12 +53,14 @@
 class PlatformState:
     """All entries; later changes are those after ``position``.
 
-    ``age`` is how long ago the store itself confirmed the state.
+    ``age`` is how long ago the store itself confirmed the state, ``keys_age`` how long
+    ago it confirmed API keys if that is longer.
     """
 
     entries: tuple[Entry, ...]
     position: Position
     age: Milliseconds = Milliseconds(0)
+    keys_age: Milliseconds | None = None
 
 
 @final
@@ -70,7 +72,7 @@
     ``in_outage`` says that the source recently failed to read the store.
     ``is_last`` is false if there are more changes after ``position`` already.
     ``settings`` are what another VM has in force, if they are newer than this VM's
-    and possibly lost by the store.
+    and possibly lost by the store. ``keys_age`` is as in ``PlatformState``.
     """
 
     entries: tuple[Entry, ...]
@@ -79,6 +81,7 @@
     in_outage: bool = False
     is_last: bool = True
     settings: Entry | None = None
+    keys_age: Milliseconds | None = None
 
 
 class PlatformSource(Protocol):
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -278,13 +278,13 @@
         started = self._clock.now()
         known = self._table.position
         if self._needs_list:
-            age = await self._read_all(source)
+            age, keys_age = await self._read_all(source)
         else:
             changes = await self._read_changes(source, NO_WAIT)
             while not changes.is_last:
                 started = self._clock.now()
                 changes = await self._read_changes(source, NO_WAIT)
-            age = changes.age
+            age, keys_age = changes.age, changes.keys_age
             if source is self._store:
                 self._check_watch(bool(changes.entries))
             elif changes.position < known:
@@ -292,12 +292,17 @@
                 if (self._view.age(started) or 0) > self._max_peer_view_age:
                     self._check_not_earlier(source, changes.position, known)
                 return age
-        self._view.confirm(Milliseconds(started - age))
+        self._view.confirm(
+            Milliseconds(started - age),
+            Milliseconds(started - (age if keys_age is None else keys_age)),
+        )
         for target in self._view.forget_gone(started):
             self._targets.forget(target)
         return age
 
-    async def _read_all(self, source: PlatformSource) -> Milliseconds:
+    async def _read_all(
+        self, source: PlatformSource
+    ) -> tuple[Milliseconds, Milliseconds | None]:
         self._count_read(source)
         state = await source.read_all()
         self._check_not_earlier(source, state.position, known=self._table.position)
@@ -317,7 +322,7 @@
             changed=len(changed),
         )
         self._apply_entries(changed)
-        return state.age
+        return state.age, state.keys_age
 
     async def _read_changes(
         self, source: PlatformSource, wait: Milliseconds
@@ -333,9 +338,9 @@
         if list_reads != self._list_reads:
             # The other task read a list meanwhile, which is newer than these changes.
             return replace(changes, entries=())
+        self._enter_era(source, changes.position)
         if changes.in_outage:
             self._view.record_outage(self._clock.now())
-        self._enter_era(source, changes.position)
         new = self._table.apply_changes(changes.entries, changes.position)
         self._apply_entries(new)
         return replace(changes, entries=tuple(new))
@@ -370,7 +375,7 @@
                 version=self._view.version,
                 view_age_ms=self._view.age(now),
             )
-        self._view.begin_era(era, now)
+        self._view.begin_era(era, now, self._settings.apply_within)
         if self._watch is not None:
             # It waits for revisions of the earlier era.
             self._watch.cancel()
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -36,6 +36,10 @@
 """How long it is remembered that a target has left. The store may come back from a copy
 some seconds old, which still lists the target."""
 
+LOST_SETTINGS_SHARE = 0.5
+"""Share of the time in which a configuration has to take effect, for which one that the
+store lost may not be written again. The rest is left for noticing the loss."""
+
 DEFAULT_HEARTBEAT_INTERVAL = Milliseconds(1_200)
 """How often targets write to the store, if the settings don't say."""
 
@@ -111,6 +115,8 @@
         self._mixed_services: set[ServiceId] = set()
         self._first_listed_at: Milliseconds | None = None
         self._confirmed_at: Milliseconds | None = None
+        self._keys_confirmed_at: Milliseconds | None = None
+        self._keys_doubted_until: Milliseconds | None = None
         self._outage_until = Milliseconds(0)
         self._position = START
         self._era_began_at: Milliseconds | None = None
@@ -151,12 +157,20 @@
         """Record up to which state of the store this VM has read."""
         self._position = position
 
-    def begin_era(self, era: StoreEra, now: Milliseconds) -> None:
+    def begin_era(
+        self, era: StoreEra, now: Milliseconds, apply_within: Milliseconds
+    ) -> None:
         """Record that the store came back from an older copy.
 
-        It lacks what was written since, until that is written again.
+        It lacks what was written since, until that is written again. That includes
+        keys taken away which this VM never saw, if it didn't follow the store until the
+        return: its view is older than ``apply_within`` or there was an outage.
         """
         if self._position != START or era > FIRST_ERA:
+            age = self.age(now)
+            if age is not None and (age > apply_within or self.in_outage(now)):
+                doubt_time = round(apply_within * LOST_SETTINGS_SHARE)
+                self._keys_doubted_until = Milliseconds(now + doubt_time)
             self._era_began_at = now
             self.record_outage(now)
         self._position = position_of(era, 0)
@@ -174,10 +188,35 @@
             return None
         return Milliseconds(now - self._confirmed_at)
 
-    def confirm(self, call_started: Milliseconds) -> None:
-        """Record that a call started at ``call_started`` returned the current state."""
+    def keys_age(self, now: Milliseconds) -> Milliseconds | None:
+        """Return the time since API keys were confirmed, ``None`` if never.
+
+        A copy of the store may hold keys that were taken away, so it confirms none
+        until what it lacks is written again.
+        """
+        if self._keys_confirmed_at is None:
+            return None
+        return Milliseconds(now - self._keys_confirmed_at)
+
+    def confirm(
+        self, call_started: Milliseconds, keys_confirmed_at: Milliseconds | None = None
+    ) -> None:
+        """Record that a call started at ``call_started`` returned the current state.
+
+        Its source may have confirmed the keys earlier, at ``keys_confirmed_at``.
+        """
         if self._confirmed_at is None or call_started > self._confirmed_at:
             self._confirmed_at = call_started
+        if keys_confirmed_at is None:
+            keys_confirmed_at = call_started
+        doubted_until = self._keys_doubted_until
+        if doubted_until is not None and call_started < doubted_until:
+            return
+        if (
+            self._keys_confirmed_at is None
+            or keys_confirmed_at > self._keys_confirmed_at
+        ):
+            self._keys_confirmed_at = keys_confirmed_at
 
     def record_outage(self, now: Milliseconds) -> None:
         """Record that the platform could not be read at ``now``."""
--- a/testing/edge/test_store_eras.py
+++ b/testing/edge/test_store_eras.py
@@ -401,3 +401,60 @@
         assert all(vm.status("/kept/", "a") != 200 for vm in fleet.vms)
 
     run_fleet(5, scenario)
+
+
+async def lose_unseen_removal(fleet):
+    """Take key ``a`` away while no VM reaches the store; bring an older copy back."""
+    copy = fleet.store.copy()
+    for vm in fleet.vms:
+        vm.store_line.is_cut = True
+    fleet.configure(5, "/kept/", keys=("b",))
+    await trio.sleep(0.7)
+    fleet.store.return_from(copy)
+    for vm in fleet.vms:
+        vm.store_line.is_cut = False
+
+
+def test_key_taken_away_unseen_lapses_at_vm_that_was_paused():
+    async def scenario(fleet):
+        vm = fleet.vms[-1]
+        vm.pause()
+        taken_away_at = trio.current_time()
+        await lose_unseen_removal(fleet)
+        await trio.sleep(1.0)
+        vm.resume()
+        await trio.sleep(0.4)
+        for each in fleet.vms:
+            each.store_line.is_cut = True
+        await trio.sleep_until(taken_away_at + KEY_LIFETIME_S)
+        assert vm.status("/kept/", "a") != 200
+
+    run_fleet(5, scenario)
+
+
+def test_seed_that_doubts_keys_confirms_none_at_vm_that_started_since():
+    async def scenario(fleet):
+        taken_away_at = trio.current_time()
+        await lose_unseen_removal(fleet)
+        await trio.sleep(0.3)
+        vm = fleet.add_vm(9)
+        vm.store_line.is_cut = True
+        await trio.sleep(0.7)
+        for each in fleet.vms:
+            each.store_line.is_cut = True
+        await trio.sleep_until(taken_away_at + KEY_LIFETIME_S)
+        assert vm.status("/kept/", "a") != 200
+
+    run_fleet(5, scenario)
+
+
+def test_keys_are_confirmed_again_once_lost_settings_had_time_to_return():
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        fleet.churn()
+        await fleet.lose(copy, away_s=1.5)
+        for _ in range(500):
+            assert all(vm.status("/kept/", "a") == 200 for vm in fleet.vms)
+            await trio.sleep(0.01)
+
+    run_fleet(8, scenario)
