Show that streams are joined from two versions after VMs restart together

A VM that starts asks which targets left before, and takes the answer of a VM that started as late as itself for knowledge.

--- /dev/null
+++ b/testing/edge/test_fleet_restarts.py
@@ -0,0 +1,61 @@
+"""Restarts VMs of a fleet right after targets of one software version left.
+
+Guards against VMs that take the answer of another VM for knowledge although that one
+started as late as they did: a stream that began at a target of the version that left is
+then joined with events of the other version.
+"""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from edge.edge_fleet import running_fleet
+from edge.test_streams_of_two_versions import FOUR_OF_TWO
+from edge.test_streams_of_two_versions import break_off
+from edge.test_streams_of_two_versions import take_up
+from support.loopback import on_trio
+
+VM_COUNT = 5
+STREAMS = 12
+
+RESTARTED = {
+    "all VMs": range(VM_COUNT),
+    "seeds": range(3),
+    "all but a seed": range(1, VM_COUNT),
+    "all but one that is no seed": range(VM_COUNT - 1),
+}
+
+
+async def restart_together(vms):
+    for vm in vms:
+        vm.kill()
+    for vm in vms:
+        await vm._ended.wait()
+    async with trio.open_nursery() as nursery:
+        for vm in vms:
+            nursery.start_soon(vm.start)
+
+
+@pytest.mark.parametrize("numbers", RESTARTED.values(), ids=RESTARTED)
+def test_stream_is_not_joined_from_two_versions_after_vms_restart(numbers):
+    @on_trio
+    async def run():
+        async with running_fleet(VM_COUNT, *FOUR_OF_TWO[:2]) as fleet:
+            await trio.sleep(0.5)
+            began = [
+                await break_off(fleet, fleet.vms[number % VM_COUNT], number)
+                for number in range(STREAMS)
+            ]
+            gone = min(name for _, name in began)
+            fleet.store.remove(f"servers/{gone}")
+            await trio.sleep(0.7)
+            await restart_together([fleet.vms[number] for number in numbers])
+            for wait_s in (0, 1.0):
+                await trio.sleep(wait_s)
+                for number, (attempt, began_at) in enumerate(began):
+                    vm = fleet.vms[number % VM_COUNT]
+                    status, _, places = await take_up(fleet, vm, attempt, number)
+                    assert (status, places) in [(200, [began_at]), (503, [])]
+
+    run()
