Keep the soak running when a fault takes away a target that is to be replaced

The soak ended in a KeyError in _replace_target, as another fault that overlaps had taken the target away while its replacement started; violations before it would have been lost. The test is red without the change.

--- a/src/yuccafold/soak/_clients.py
+++ b/src/yuccafold/soak/_clients.py
@@ -130,14 +130,11 @@
             return
         vm = self._parts_rng.choice(self._others)
         attempt = self._new_attempt()
-        headers = [
-            (name.decode(), attempt if name == b"x-attempt-id" else value.decode())
-            for name, value in request.headers
-        ]
+        headers = take_up_headers(request.headers, attempt, first_attempt, last_event)
         again = h11.Request(
             method="POST",
             target=request.target,
-            headers=[*headers, *take_up_headers(first_attempt, last_event)],
+            headers=headers,
         )
         try:
             stream = await trio.open_tcp_stream(*vm.caller_address)
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -471,6 +471,9 @@
         if len(self._targets) > self._settings.targets:
             return
         await self._add_target()
+        if name not in self._targets:
+            # A fault that overlaps has taken it away meanwhile.
+            return
         self._list_target(name, "draining")
         self._promises.record_drain(name)
         await self._end_target(name)
--- a/src/yuccafold/standins/_platform_forms.py
+++ b/src/yuccafold/standins/_platform_forms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 from typing import final
@@ -130,9 +131,24 @@
     return int(request.header(LAST_EVENT_HEADER.lower()) or 0)
 
 
-def take_up_headers(first_attempt: str, last_event: int) -> RequestHeaders:
-    """Return the headers with which a caller takes a stream up."""
-    return [(RESUMES_HEADER, first_attempt), (LAST_EVENT_HEADER, str(last_event))]
+def take_up_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+    attempt: str,
+    first_attempt: str,
+    last_event: int,
+) -> RequestHeaders:
+    """Return the headers of the ``attempt`` that takes the stream of a request up."""
+    kept = [
+        (name.decode(), value.decode())
+        for name, value in headers
+        if name.lower() != ATTEMPT_HEADER.lower().encode()
+    ]
+    return [
+        *kept,
+        (ATTEMPT_HEADER, attempt),
+        (RESUMES_HEADER, first_attempt),
+        (LAST_EVENT_HEADER, str(last_event)),
+    ]
 
 
 def shared_parts(request: ServedRequest) -> tuple[str, ...]:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -6,6 +6,7 @@
 from yuccafold.soak import SoakSettings
 from yuccafold.soak import run_soak
 from yuccafold.soak._process import EdgeProcess
+from yuccafold.soak._run import _Soak
 
 CI_SEED = 100
 """A seed whose faults stop, kill and reload VMs and disconnect store and targets."""
@@ -52,3 +53,15 @@
     assert [(found.promise, found.subject) for found in report.violations] == [
         ("keeps running", "vm-0")
     ]
+
+
+def test_target_that_another_fault_takes_away_is_not_replaced(tmp_path, monkeypatch):
+    # The soak ended in a traceback, and lost the violations before it.
+    async def add_while_the_other_is_taken_away(soak):
+        soak._targets.clear()
+
+    monkeypatch.setattr(_Soak, "_add_target", add_while_the_other_is_taken_away)
+    soak = _Soak(SoakSettings(seed=1), tmp_path)
+    soak._targets["t1"] = (None, None)
+    trio.run(soak._replace_target, "t1")
+    assert not soak._targets
