Read the past of targets right after the first view, not a second later

The read ran within the 200 ms in which other VMs are asked, was cut off with them, and came again only with the next confirmation of the view. Now it follows the first view at once and is not cut off; calls do not wait for it.

--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -245,7 +245,7 @@
             if not self._first_view.is_set():
                 await self._ask_other_vms()
                 self._first_view.set()
-            elif not self._has_read_past:
+            if not self._has_read_past:
                 await self._read_past()
             return True
         return False
@@ -260,7 +260,6 @@
             async with trio.open_nursery() as nursery:
                 for peer in self._choice.peers:
                     nursery.start_soon(self._ask_peer, peer)
-            await self._read_past()
 
     async def _read_past(self) -> None:
         """Read which targets changed before the first list, if no VM knows it.
