Estimate the age of a stream by its route's timeout before the first call of the route

Tests of streams that may still be reported now let each VM see a call first, so that it knows how much time callers have.

Not mended: half of the streams from before a restart of all VMs can't be known while two versions serve, as what the store remembers bears no time.

--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -102,12 +102,11 @@
 
         VMs that all started lately know of no stream that began before. What began
         since is reported within ``REPORT_TIME``, also to a VM that has just started.
-        The age of the stream follows from the time that callers of its route have.
+        The age of the stream follows from the time that callers of its route have, or
+        from the timeout of the route before the first one came.
         """
-        caller_time = self._caller_times.get(call.admitted.route.name)
-        if caller_time is None:
-            return True
-        age = caller_time - call.head.deadline
+        route = call.admitted.route
+        age = self._caller_times.get(route.name, route.timeout) - call.head.deadline
         is_recent = age < REPORT_TIME or self._history.has_just_started(now)
         return is_recent and age <= self._versions.reports_age(now)
 
--- a/testing/edge/test_streams_of_two_versions.py
+++ b/testing/edge/test_streams_of_two_versions.py
@@ -92,6 +92,12 @@
     return began.runs[-1], began_at
 
 
+async def call_all(fleet):
+    """Let all VMs see a call, and so how much time callers have."""
+    for vm in fleet.vms:
+        await fleet.call(vm, "/chat/", ("first",))
+
+
 async def take_up(fleet, vm, attempt, number):
     """Take a stream up; return the status, the head and where it went on, if it did."""
     received = {each.id: len(each.received) for each in fleet.targets}
@@ -119,6 +125,7 @@
             await trio.sleep(0.5)
             rng = random.Random(1)
             fleet.complete_histories()
+            await call_all(fleet)
             at_once = 0
             for number in range(12):
                 vm, other = rng.sample(fleet.vms[:4], 2)
@@ -188,6 +195,7 @@
         for number, entry in enumerate(newer):
             fleet.store.put(f"servers/n{number}", entry)
         await trio.sleep(1.5)
+        await call_all(fleet)
         refused = 0
         for number in range(12):
             status, head, places = await take_up(fleet, fleet.vms[0], "gone", number)
