Name what VMs exchange by reports and notices, not by telling and hearing

Names and comments only: record_told, NOTHING_TOLD, _heard and their like become record_reported, NOTHING_REPORTED, _received.

--- a/src/yuccafold/edge/_brittle.py
+++ b/src/yuccafold/edge/_brittle.py
@@ -28,7 +28,7 @@
 
 SIGN_LIFETIME = Milliseconds(5_000)
 """How long after the last brittle answer of a service its new targets count as brittle
-before they say so."""
+before they state it."""
 
 
 @final
@@ -66,7 +66,7 @@
     def record_answer(
         self, target: TargetRecord, is_rejection: bool, now: Milliseconds
     ) -> None:
-        """Record an answer in which ``target`` says that it is brittle."""
+        """Record an answer in which ``target`` states that it is brittle."""
         self._signs[target.service] = now
         state = self._targets.setdefault(target.id, BrittleTarget(at=now))
         recovered = RECOVERY_PER_SECOND * (now - state.at) / MS_PER_SECOND
@@ -75,7 +75,7 @@
             state.factor = max(MIN_FACTOR, state.factor * REJECTION_FACTOR)
 
     def is_brittle(self, service: ServiceId, now: Milliseconds) -> bool:
-        """Return whether targets of a service said lately that they are brittle."""
+        """Return whether targets of a service recently stated that they are brittle."""
         sign_at = self._signs.get(service)
         return sign_at is not None and now - sign_at < SIGN_LIFETIME
 
--- a/src/yuccafold/edge/_crash_probe.py
+++ b/src/yuccafold/edge/_crash_probe.py
@@ -60,7 +60,7 @@
         self._results: dict[TargetStart, tuple[ProbeResult, Milliseconds]] = {}
 
     async def probe(self, target: TargetRecord) -> ProbeResult:
-        """Return how ``target`` takes a connection now or took one lately."""
+        """Return how ``target`` accepts a connection now or recently did."""
         start = (target.id, target.born_ms)
         if start in self._running:
             await self._running[start].wait()
--- a/src/yuccafold/edge/_entries.py
+++ b/src/yuccafold/edge/_entries.py
@@ -67,7 +67,7 @@
 
     @property
     def in_force(self) -> SettingsInForce | None:
-        """The configuration in force; other VMs are told if the store lost it."""
+        """The configuration in force; it is sent to other VMs if the store lost it."""
         return self._in_force
 
     def put_in_force(self, settings: SettingsInForce) -> None:
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -283,7 +283,7 @@
     ) -> None:
         """Record whether an answer of ``target`` said that it is about to stop.
 
-        Other VMs are told at once, and idle connections to it are closed.
+        It is reported to other VMs at once, and idle connections to it are closed.
         """
         if not facts.leaving:
             return
@@ -297,8 +297,8 @@
     ) -> bool | None:
         """Return whether the target crashed under a call; ``None`` if it can't be so.
 
-        A crash is recorded and told to other VMs. The caller may leave meanwhile, or
-        the deadline pass, so the probe is shielded.
+        A crash is recorded and reported to other VMs. The caller may leave meanwhile,
+        or the deadline pass, so the probe is shielded.
         """
         if failure not in (Failure.BROKEN, Failure.SILENT):
             return None
@@ -410,7 +410,7 @@
             self._quarantine.record_sound(call, self._clock.now())
 
     def _begin(self, call: Call, target: TargetRecord, relay: AnswerRelay) -> None:
-        """Record that a stream begins at ``target``; tell others if they must know."""
+        """Record that a stream begins at ``target``; report it at once if needed."""
         relay.require_version(target.software)
         if self._targets.streams.begin(call, target, self._clock.now()):
             self._report_soon()
--- a/src/yuccafold/edge/_helpers.py
+++ b/src/yuccafold/edge/_helpers.py
@@ -1,4 +1,4 @@
-"""VMs that reach the targets of a service, as VMs tell each other through the seeds."""
+"""VMs that reach the targets of a service, as VMs advertise through the seeds."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 from yuccafold._ids import ServiceId
 
 HELPER_LIFETIME = Milliseconds(2_000)
-"""How long a VM that was told of is asked for help: VMs report every 450 to 750 ms."""
+"""How long an advertised VM is asked for help: VMs report every 450 to 750 ms."""
 
-MAX_TOLD_HELPERS = 6
+MAX_REPORTED_HELPERS = 6
 """Helpers in one message, drawn at random, so that the load spreads over many."""
 
 HelperServices = Mapping[str, frozenset[ServiceId]]
@@ -38,14 +38,14 @@
         """Set the address at which this VM takes calls."""
         self._address = address
 
-    def record_told(self, helpers: HelperServices, now: Milliseconds) -> None:
-        """Record which VMs say that they reach services."""
+    def record_reported(self, helpers: HelperServices, now: Milliseconds) -> None:
+        """Record which VMs advertise that they reach services."""
         for address, services in helpers.items():
             if address != self._address:
                 self._helpers[address] = (services, now)
 
     def record_failure(self, address: str) -> None:
-        """Forget a VM that did not help, until it is told of again."""
+        """Forget a VM that did not help, until it is advertised again."""
         self._helpers.pop(address, None)
 
     def choose(
@@ -54,19 +54,19 @@
         """Return a VM that reaches ``service``, ``None`` if none is known."""
         known = [
             address
-            for address, (services, told_at) in self._helpers.items()
+            for address, (services, reported_at) in self._helpers.items()
             if service in services
             and address not in tried
-            and now - told_at < HELPER_LIFETIME
+            and now - reported_at < HELPER_LIFETIME
         ]
         return self._rng.choice(known) if known else None
 
 
 def format_helpers(helpers: HelperServices) -> str:
     """Format a sample of helpers as ``ADDRESS=SERVICE;SERVICE``, joined by commas."""
-    told = random.sample(sorted(helpers), min(MAX_TOLD_HELPERS, len(helpers)))
+    advertised = random.sample(sorted(helpers), min(MAX_REPORTED_HELPERS, len(helpers)))
     return ",".join(
-        f"{address}={';'.join(sorted(helpers[address]))}" for address in told
+        f"{address}={';'.join(sorted(helpers[address]))}" for address in advertised
     )
 
 
--- a/src/yuccafold/edge/_history_exchange.py
+++ b/src/yuccafold/edge/_history_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges the history of targets between two VMs, if one of them started lately."""
+"""Exchanges the history of targets between two VMs, if one of them started recently."""
 
 from __future__ import annotations
 
--- a/src/yuccafold/edge/_leaving.py
+++ b/src/yuccafold/edge/_leaving.py
@@ -1,8 +1,8 @@
-"""Targets that say in their answers that they are about to stop.
+"""Targets that announce in their answers that they are about to stop.
 
-Such a target gets no more calls from the VM that it told so, and from the VMs that
-hear of it. A notice is about one start of a target: another one at the same address,
-or under the same id, is not concerned.
+Such a target gets no more calls from the VM that got the answer, and from the VMs
+that it is reported to. A notice is about one start of a target: another one at the
+same address, or under the same id, is not concerned.
 """
 
 from __future__ import annotations
@@ -18,20 +18,20 @@
 from yuccafold.edge._model import TargetRecord
 
 TELL_TIME = Milliseconds(5_000)
-"""How long a VM tells others of an answer: they all hear of it within 1,200 ms."""
+"""How long a VM reports an answer: it reaches all others within 1,200 ms."""
 
 NOTICE_RETENTION = Milliseconds(600_000)
 """How long a notice counts. Targets stop within seconds of it, and a later answer would
 say so again."""
 
 MAX_NOTICES = 4_096
-MAX_TOLD_NOTICES = 100
+MAX_REPORTED_NOTICES = 100
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class LeavingNotice:
-    """The start of a target that is about to stop, and when a VM was told so."""
+    """The start of a target that is about to stop, and when the notice came."""
 
     born_ms: int
     at: Milliseconds
@@ -68,8 +68,8 @@
         )
         return True
 
-    def record_told(self, notices: LeavingNotices, now: Milliseconds) -> None:
-        """Record what other VMs were told."""
+    def record_reported(self, notices: LeavingNotices, now: Milliseconds) -> None:
+        """Record notices that other VMs received."""
         for target, notice in notices.items():
             if self._record(target, notice):
                 log_event(
@@ -91,19 +91,19 @@
         return Milliseconds(now - self._notices[target.id].at)
 
     def local_notices(self, now: Milliseconds) -> dict[TargetId, LeavingNotice]:
-        """Return what targets told this VM lately, the newest first."""
+        """Return the notices that this VM recently received, the newest first."""
         self._expire(now)
         newest = sorted(self._own.items(), key=lambda item: -item[1].at)
         return {
             target: notice
-            for target, notice in newest[:MAX_TOLD_NOTICES]
+            for target, notice in newest[:MAX_REPORTED_NOTICES]
             if now - notice.at < TELL_TIME
         }
 
     def _record(self, target: TargetId, notice: LeavingNotice) -> bool:
         """Record a notice; return whether it is about another start than known.
 
-        Starts are ordered by when VMs were told, as clocks of targets may step.
+        Starts are ordered by when notices were received, as clocks of targets may step.
         """
         known = self._notices.get(target)
         if known is not None and not _is_later_start(notice, known):
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -347,7 +347,7 @@
         return {SETTINGS_FIELD: self._row(in_force.entry, START)}
 
     def _exchanged(self, query: dict[str, str], now: Milliseconds) -> dict[str, Any]:
-        """Merge what the requesting VM tells, and return what it lacks."""
+        """Merge what the requesting VM reports, and return what it lacks."""
         suspects = answer_suspects(self._evidence.quarantine, query, now)
         streams = answer_streams(self._evidence.streams, query, now)
         return suspects | streams | answer_history(self._evidence.history, query, now)
--- a/src/yuccafold/edge/_quarantine.py
+++ b/src/yuccafold/edge/_quarantine.py
@@ -32,7 +32,7 @@
 QUARANTINE_WEIGHT = 3 * EARLY_WEIGHT
 """Weight of crashes without a whole answer from which calls are refused: three crashes
 at the beginning of an answer. The users allow five crashes, and three more calls
-once VMs had time to tell each other; two would refuse sound parts that are rare."""
+once VMs had time to report; two would refuse sound parts that are rare."""
 
 SOUND_BEFORE_WEIGHT = 6 * EARLY_WEIGHT
 """The same for a part that has had a whole answer before its crashes: several targets
@@ -44,7 +44,7 @@
 is sound, one of its calls at another target is answered within this time."""
 
 ISOLATED_WEIGHT = 2 * EARLY_WEIGHT
-"""The same for a VM that hears of no other VM: it sees only a share of the crashes."""
+"""The same for a VM that receives no reports: it sees only a share of the crashes."""
 
 NO_RETRY_WEIGHT = 2 * EARLY_WEIGHT
 """Weight from which a call is not sent to another target after it failed. A whole call
@@ -62,7 +62,7 @@
 )
 """How long after its last crash a quarantined suspect is tried, if none, one or two
 trials reached a target before. The first is soon, as a wrong quarantine has to end
-soon; by then all VMs have told each other of crashes and whole answers. The second is
+soon; by then crashes and whole answers are known at all VMs. The second is
 made only if the first ended without a crash and without a whole answer. The users allow
 three calls in all, so there is no fourth."""
 
@@ -73,7 +73,7 @@
 """How long a quarantine lasts after the last call that it refused."""
 
 TRIAL_SLOT = Milliseconds(1_000)
-"""How often VMs draw anew who may make the first trial: they tell each other of its end
+"""How often VMs draw anew who may make the first trial: they report its end
 within this time."""
 
 TRIALS_PER_SLOT = 0.25
@@ -87,20 +87,20 @@
 """How long suspects that aren't quarantined are remembered after their last crash."""
 
 CLEARED_LIFETIME = Milliseconds(30_000)
-"""How long a cleared suspect is kept, so that all VMs hear of it."""
+"""How long a cleared suspect is kept, so that it is reported to all VMs."""
 
 SEEN_RESOLUTION = Milliseconds(60_000)
-"""How often other VMs are told that a quarantine still refuses calls."""
+"""How often it is reported that a quarantine still refuses calls."""
 
-NOTHING_TOLD = -1
-"""Stands for the version that a VM was told before it was told any."""
+NOTHING_REPORTED = -1
+"""Stands for the last version that was reported to a VM, before any was."""
 
 MAX_SUSPECTS = 2_048
 """Suspects kept; one crash makes a few dozen at most."""
 
 ALIVE_MARGIN = Milliseconds(300)
 """How long after a crash an answer shows that its target lives: one sent before may
-still be read, and VMs tell the times of crashes by their ages."""
+still be read, and VMs report the times of crashes by their ages."""
 
 MAX_REFUTED = 256
 """Crashes that are remembered as none."""
@@ -128,7 +128,7 @@
 
     ``makes_trials`` is set at the one VM that makes the last trial of quarantined
     suspects; for those before, all VMs draw.
-    ``has_peers`` says whether there are other VMs to hear of. ``exempt`` are parts that
+    ``has_peers`` says whether there are other VMs. ``exempt`` are parts that
     are never refused. ``epoch`` tells the incarnations of this VM apart.
     """
 
@@ -163,7 +163,7 @@
         self._crash_times: dict[CrashId, Milliseconds] = {}
         self._refuted: OrderedDict[CrashId, Milliseconds] = OrderedDict()
         self._version = 0
-        self._heard_at: Milliseconds | None = None
+        self._received_at: Milliseconds | None = None
         self.apply_settings(settings or QuarantineSettings())
 
     @property
@@ -193,11 +193,11 @@
         """Return what this VM knows against a call, as fields of a log line."""
         keys = _keys(call)
         known = [self._suspects[key] for key in keys if key in self._suspects]
-        heard_at = self._heard_at
+        received_at = self._received_at
         return {
             "key": keys[-1],
             "crashes_known": max((len(known.strikes) for known in known), default=0),
-            "heard_ms": None if heard_at is None else now - heard_at,
+            "heard_ms": None if received_at is None else now - received_at,
         }
 
     def record_refusal(self, call: Call, now: Milliseconds) -> str:
@@ -268,7 +268,7 @@
         self._drop_weakest()
 
     def record_alive(self, crash: CrashId, now: Milliseconds) -> None:
-        """Record that a target answers, so that a crash told of it was none.
+        """Record that a target answers, so that a crash reported of it was none.
 
         A VM that is cut off takes targets for crashed whose connections are reset.
         """
@@ -334,26 +334,26 @@
 
     def record_contact(self, now: Milliseconds) -> None:
         """Record an exchange of evidence with another VM."""
-        self._heard_at = now
+        self._received_at = now
 
     def changes(self, after: int, reader: str) -> list[tuple[SuspectKey, Suspect]]:
         """Return the suspects that changed after version ``after``, in that order.
 
         Those whose last change came from ``reader`` itself are left out, unless it is
-        told everything, as after its start.
+        sent everything, as after its start.
         """
         return sorted(
             (
                 (key, suspect)
                 for key, suspect in self._suspects.items()
                 if suspect.version > after
-                and (after == NOTHING_TOLD or suspect.known_to != reader)
+                and (after == NOTHING_REPORTED or suspect.known_to != reader)
             ),
             key=lambda item: item[1].version,
         )
 
     def is_urgent(self, suspect: Suspect) -> bool:
-        """Return whether other VMs have to hear of a suspect first."""
+        """Return whether a suspect has to be reported to other VMs first."""
         return suspect.total_weight >= NO_RETRY_WEIGHT
 
     def expire(self, now: Milliseconds) -> None:
@@ -396,7 +396,7 @@
             if key in self._strong and key not in self._exempt
         ]
         for key in keys:
-            # What other VMs tell doesn't say what kind of suspect it is.
+            # Reports of other VMs don't name the kind of suspect.
             self._suspects[key].is_whole_call = key == whole_call
         return [key for key in keys if self._is_suspect(call, self._suspects[key])]
 
@@ -429,7 +429,7 @@
     def _is_isolated(self, now: Milliseconds) -> bool:
         if not self._settings.has_peers:
             return False
-        return self._heard_at is None or now - self._heard_at > ISOLATION_TIMEOUT
+        return self._received_at is None or now - self._received_at > ISOLATION_TIMEOUT
 
     def _is_trial_due(self, key: SuspectKey, now: Milliseconds) -> bool:
         suspect = self._suspects[key]
@@ -481,7 +481,7 @@
                 key=key,
                 what=suspect.label,
                 crashes=",".join(suspect.strikes),
-                told_by=suspect.known_to,
+                reported_by=suspect.known_to,
             )
         elif not suspect.strikes and key in self._announced:
             self._announced.discard(key)
--- a/src/yuccafold/edge/_reach.py
+++ b/src/yuccafold/edge/_reach.py
@@ -84,7 +84,7 @@
         return [name for name, known in self._services.items() if known.is_cut_off]
 
     def services_in_reach(self, now: Milliseconds) -> list[ServiceId]:
-        """Return the services whose targets this VM has reached lately."""
+        """Return the services whose targets this VM has recently reached."""
         return [
             name
             for name, known in self._services.items()
--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -100,7 +100,7 @@
     def may_become_known(self, call: Call, now: Milliseconds) -> bool:
         """Return whether another VM may still report where a stream began.
 
-        VMs that all started lately know of no stream that began before. What began
+        VMs that all started recently know of no stream that began before. What began
         since is reported within ``REPORT_TIME``, also to a VM that has just started.
         The age of the stream follows from the time that callers of its route have, or
         from the timeout of the route before the first one came.
--- a/src/yuccafold/edge/_suspect_exchange.py
+++ b/src/yuccafold/edge/_suspect_exchange.py
@@ -8,7 +8,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
-from yuccafold.edge._quarantine import NOTHING_TOLD
+from yuccafold.edge._quarantine import NOTHING_REPORTED
 from yuccafold.edge._quarantine import Quarantine
 from yuccafold.edge._suspects import ENTRY_SEPARATOR
 from yuccafold.edge._suspects import format_suspect
@@ -24,15 +24,15 @@
 
 @final
 class SuspectExchange:
-    """The side that asks: what this VM has sent to one other VM, and heard from it."""
+    """The side that asks: what this VM sent to another VM and received from it."""
 
     def __init__(self, quarantine: Quarantine, peer: str) -> None:
         self._quarantine = quarantine
         self._peer = peer
         self._peer_epoch = ""
-        self._heard = NOTHING_TOLD
-        self._sent = NOTHING_TOLD
-        self._sending = NOTHING_TOLD
+        self._received = NOTHING_REPORTED
+        self._sent = NOTHING_REPORTED
+        self._sending = NOTHING_REPORTED
 
     def query(self, now: Milliseconds) -> dict[str, Any]:
         """Return the fields of the next request."""
@@ -43,7 +43,7 @@
         return {
             SUSPECTS_FIELD: text,
             EPOCH_FIELD: self._peer_epoch,
-            POSITION_FIELD: self._heard,
+            POSITION_FIELD: self._received,
         }
 
     def record_answer(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
@@ -57,9 +57,9 @@
         evidence = parse_suspects(str(fields[SUSPECTS_FIELD]), now)
         self._quarantine.record_contact(now)
         self._quarantine.merge(evidence, self._peer, now)
-        self._heard = int(fields[POSITION_FIELD])
-        was_sent_all = self._sent == NOTHING_TOLD or epoch == self._peer_epoch
-        self._sent = self._sending if was_sent_all else NOTHING_TOLD
+        self._received = int(fields[POSITION_FIELD])
+        was_sent_all = self._sent == NOTHING_REPORTED or epoch == self._peer_epoch
+        self._sent = self._sending if was_sent_all else NOTHING_REPORTED
         self._peer_epoch = epoch
 
 
@@ -75,12 +75,12 @@
         evidence = parse_suspects(fields.get(SUSPECTS_FIELD, ""), now)
         quarantine.record_contact(now)
         quarantine.merge(evidence, reader, now)
-        after = int(fields.get(POSITION_FIELD, NOTHING_TOLD))
+        after = int(fields.get(POSITION_FIELD, NOTHING_REPORTED))
     except ValueError as error:
         log_event("suspects_malformed", vm=reader, error=str(error))
-        after = NOTHING_TOLD
+        after = NOTHING_REPORTED
     if fields.get(EPOCH_FIELD) != quarantine.epoch:
-        after = NOTHING_TOLD
+        after = NOTHING_REPORTED
     quarantine.expire(now)
     text, position = _format_changes(quarantine, after, reader, now)
     return {
--- a/src/yuccafold/edge/_target_limits.py
+++ b/src/yuccafold/edge/_target_limits.py
@@ -214,7 +214,7 @@
         self._forget_demand(target)
 
     def _record_notice(
-        self, target: TargetId, notice: LimitNotice, told_by: str
+        self, target: TargetId, notice: LimitNotice, reported_by: str
     ) -> None:
         known = self._notices.get(target)
         if known is not None and known.at >= notice.at:
@@ -228,7 +228,7 @@
                 "target_limited" if notice.limit is not None else "target_unlimited",
                 target=target,
                 limit=notice.limit,
-                told_by=told_by,
+                reported_by=reported_by,
             )
 
     def _forget_demand(self, target: TargetId) -> None:
@@ -295,7 +295,7 @@
 
 
 def newest_notices(tables: Iterable[LimitNotices]) -> dict[TargetId, LimitNotice]:
-    """Return what the newest answer of each target said."""
+    """Return what the newest answer of each target stated."""
     newest: dict[TargetId, LimitNotice] = {}
     for table in tables:
         for target, notice in table.items():
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -127,7 +127,7 @@
 
     @property
     def leaving(self) -> LeavingTargets:
-        """The targets that said in their answers that they are about to stop."""
+        """The targets that announced in their answers that they are about to stop."""
         return self._leaving
 
     @property
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -65,10 +65,10 @@
 class VmReport:
     """Running calls and recent outcomes by target, of one VM or of ``vms`` VMs.
 
-    ``limits`` are what targets last said of their limits, and ``demand`` the calls a
+    ``limits`` are the limits that targets last stated, and ``demand`` the calls a
     second that VMs want to send to limited ones. ``leaving`` are the targets that
-    lately said that they are about to stop. ``helpers`` are VMs that take calls for
-    those that are cut off from a service.
+    recently announced that they are about to stop. ``helpers`` are VMs that take
+    calls for those that are cut off from a service.
     """
 
     calls: Mapping[TargetId, int] = field(default_factory=dict)
@@ -201,7 +201,7 @@
 @final
 @dataclass(frozen=True, slots=True)
 class TargetEvidence:
-    """What VMs tell each other of targets and of suspect calls."""
+    """What VMs report to each other of targets and of suspect calls."""
 
     loads: LoadTable = field(default_factory=LoadTable)
     outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
@@ -251,6 +251,6 @@
             total.limits, total.demand, local_part.demand, total.vms, now
         )
         self.outcomes.record_fleet_report(total.outcomes, local_part.outcomes, now)
-        self.leaving.record_told(total.leaving, now)
+        self.leaving.record_reported(total.leaving, now)
         self.quarantine.record_vm_count(total.vms)
-        self.helpers.record_told(total.helpers, now)
+        self.helpers.record_reported(total.helpers, now)
--- a/testing/edge/test_leaving_notices.py
+++ b/testing/edge/test_leaving_notices.py
@@ -36,15 +36,15 @@
     leaving = LeavingTargets()
     leaving.record_answer(OLD_START, "a1", at(10))
     later_start = target("t1", born_ms=later_born)
-    leaving.record_told({T1: LeavingNotice(later_born, at(400))}, at(500))
+    leaving.record_reported({T1: LeavingNotice(later_born, at(400))}, at(500))
     assert leaving.is_leaving(later_start)
-    leaving.record_told({T1: LeavingNotice(1_000, at(10))}, at(600))
+    leaving.record_reported({T1: LeavingNotice(1_000, at(10))}, at(600))
     assert leaving.is_leaving(later_start)
 
 
 def test_notices_of_other_vms_are_not_passed_on_as_own():
     leaving = LeavingTargets()
-    leaving.record_told({T1: LeavingNotice(1_000, at(10))}, at(500))
+    leaving.record_reported({T1: LeavingNotice(1_000, at(10))}, at(500))
     assert leaving.is_leaving(OLD_START)
     assert leaving.age(OLD_START, at(510)) == 500
     assert leaving.local_notices(at(510)) == {}
--- a/testing/edge/test_reach.py
+++ b/testing/edge/test_reach.py
@@ -8,7 +8,7 @@
 from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
 from yuccafold.edge._helpers import HELPER_LIFETIME
-from yuccafold.edge._helpers import MAX_TOLD_HELPERS
+from yuccafold.edge._helpers import MAX_REPORTED_HELPERS
 from yuccafold.edge._helpers import HelperTable
 from yuccafold.edge._helpers import format_helpers
 from yuccafold.edge._helpers import parse_helpers
@@ -68,7 +68,7 @@
         "10.0.0.2:80": frozenset({DESK}),
         "10.0.0.3:80": frozenset({LOOKUP}),
     }
-    table.record_told(told, at(0))
+    table.record_reported(told, at(0))
     assert table.choose(DESK, (), at(1)) == "10.0.0.2:80"
     assert table.choose(DESK, ("10.0.0.2:80",), at(1)) is None
     assert table.choose(DESK, (), at(HELPER_LIFETIME)) is None
@@ -79,7 +79,7 @@
 def test_message_holds_few_helpers_of_a_large_fleet():
     helpers = {f"10.0.0.{n}:80": frozenset({DESK, LOOKUP}) for n in range(85)}
     parsed = parse_helpers(format_helpers(helpers))
-    assert len(parsed) == MAX_TOLD_HELPERS
+    assert len(parsed) == MAX_REPORTED_HELPERS
     assert parsed.items() <= helpers.items()
 
 
