Begin all streams at the version that any VM can compute later

One of eight calls could begin at any version, to keep the load even, and had to be reported; after a restart of all VMs nobody knew where. Calls that can't be taken up go to any version anyway and even the load, so the exception is gone, and with it the share of calls and the preferred version in both placements.

--- a/src/yuccafold/edge/_placement.py
+++ b/src/yuccafold/edge/_placement.py
@@ -22,7 +22,6 @@
 from yuccafold._ids import ZoneId
 from yuccafold.edge._model import PartId
 from yuccafold.edge._model import PromptPart
-from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetLoad
 from yuccafold.edge._view import KnownTarget
 
@@ -81,10 +80,6 @@
 before the other one is chosen."""
 
 
-OTHER_VERSION_PENALTY_CALLS = 2.0
-"""The same for a target of the version that a stream should begin at."""
-
-
 @final
 @dataclass(slots=True)
 class LoadEstimate:
@@ -376,12 +371,10 @@
         holders: Sequence[KnownTarget],
         now: Milliseconds,
         limits: Limits = NO_LIMITS,
-        preferred: SoftwareVersion | None = None,
     ) -> Placement | None:
         """Choose a target of ``usable`` for a call with the prompt ``parts``.
 
-        ``holders`` are the targets that the prompt may be fetched from. Targets of the
-        ``preferred`` version go first, if there is one. Returns
+        ``holders`` are the targets that the prompt may be fetched from. Returns
         ``None`` if no target is usable or none has room by its limit.
         """
         if not usable:
@@ -397,8 +390,6 @@
         ranked = self._spread_hot_prompt(
             shared[-1].id, rank(shared[-1].id, usable), now
         )
-        if preferred is not None:
-            ranked.sort(key=lambda known: known.record.software != preferred)
         target = self._first_below_bounds(ranked, now, limits)
         if target is None:
             return None
@@ -560,9 +551,8 @@
         usable: Sequence[KnownTarget],
         now: Milliseconds,
         limits: Limits = NO_LIMITS,
-        preferred: SoftwareVersion | None = None,
     ) -> Placement | None:
-        """Choose a target for a call, rather of the ``preferred`` version if given.
+        """Choose a target for a call.
 
         Returns ``None`` if none is usable or none has room by its limit.
         """
@@ -570,8 +560,6 @@
         def cost(known: KnownTarget) -> tuple[float, float]:
             record = known.record
             penalty = 0.0 if record.zone == self._zone else OTHER_ZONE_PENALTY_CALLS
-            if preferred is not None and record.software != preferred:
-                penalty += OTHER_VERSION_PENALTY_CALLS
             return self._loads.in_flight(record.id) + penalty, self._rng.random()
 
         chosen = _first_admitted(sorted(usable, key=cost), limits)
--- a/src/yuccafold/edge/_stream_versions.py
+++ b/src/yuccafold/edge/_stream_versions.py
@@ -1,7 +1,7 @@
 """Remembers at which software version streams began, and reports some to other VMs.
 
-A VM reports only streams whose version others can't compute: those that may begin at
-any version, and those whose targets changed since or are not known.
+A VM reports only streams whose version others can't compute, as the targets changed
+since or are not known.
 """
 
 from __future__ import annotations
@@ -39,15 +39,11 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StreamBegin:
-    """Where a stream of this VM began, and what its version is chosen by.
-
-    ``call`` brought its first event.
-    """
+    """Where a stream of this VM began, and what its version is chosen by."""
 
     service: ServiceId
     key: PartId
     version: SoftwareVersion
-    call: CallId
 
 
 @final
--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -73,9 +73,7 @@
         """Return the versions that ``call`` may begin at."""
         if call.repeatability is not Repeatability.RESUMABLE or call.head.takes_up:
             return ANY_VERSION
-        return choose_version(
-            self._history, call.service, choice_key(call.head), call.head.id, now
-        )
+        return choose_version(self._history, call.service, choice_key(call.head), now)
 
     def origin(self, call: Call, now: Milliseconds) -> StreamOrigin:
         """Return where the stream of ``call`` may go on, without asking other VMs."""
@@ -119,9 +117,7 @@
         first = _first_call(call)
         if call.repeatability is not Repeatability.RESUMABLE or first is None:
             return False
-        stream = StreamBegin(
-            call.service, choice_key(call.head), target.software, first
-        )
+        stream = StreamBegin(call.service, choice_key(call.head), target.software)
         is_reported = self._versions.begin(stream_key(first), stream, now)
         return is_reported and self._history.is_complete(now)
 
@@ -145,7 +141,6 @@
             self._history,
             call.service,
             choice_key(call.head),
-            call.head.resumes,
             now,
             self._max_stream_age(call),
         )
@@ -172,9 +167,7 @@
         return Milliseconds(longest - call.head.deadline)
 
     def _is_evident(self, stream: StreamBegin, now: Milliseconds) -> bool:
-        possible = possible_versions(
-            self._history, stream.service, stream.key, stream.call, now
-        )
+        possible = possible_versions(self._history, stream.service, stream.key, now)
         return possible == {stream.version}
 
 
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -111,9 +111,9 @@
         if call.head.prompt:
             holders = self._possible_holders(call.service, unhealthy)
             return self._prompt_placement.choose(
-                call.head.prompt, usable, holders, now, limits, choice.preferred
+                call.head.prompt, usable, holders, now, limits
             )
-        return self._plain_placement.choose(usable, now, limits, choice.preferred)
+        return self._plain_placement.choose(usable, now, limits)
 
     def _ready(
         self, service: ServiceId, version: SoftwareVersion | None, now: Milliseconds
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -1,10 +1,9 @@
 """The software version that a new stream begins at, chosen alike by all VMs.
 
 What targets of two versions write doesn't fit together, so a stream that broke off goes
-on at the version that began it. VMs don't report each stream to each other. Most calls,
-chosen by their ids, are bound to the version of the target that ranks first for the
-prompt, where its calls go anyway; any VM can compute it later. The others keep the load
-even: they may begin at any version, and VMs report where they did.
+on at the version that began it. VMs don't report each stream to each other. A stream
+begins at the version of the target that ranks first for the prompt, where its calls go
+anyway, at whichever target of that version has room. Any VM can compute that later.
 
 VMs see a change of the targets at different times, up to the lag. So a choice goes by
 the targets that were listed the lag before, which by then all VMs in touch have seen.
@@ -14,11 +13,9 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from hashlib import blake2b
 from typing import final
 
 from yuccafold._clock import Milliseconds
-from yuccafold._ids import CallId
 from yuccafold._ids import ServiceId
 from yuccafold.edge._model import CallHead
 from yuccafold.edge._model import PartId
@@ -27,26 +24,25 @@
 from yuccafold.edge._target_history import Listing
 from yuccafold.edge._target_history import TargetHistory
 
-BOUND_SHARE = 0.875
-"""Share of the calls that are bound. The more, the fewer streams are reported and the
-more go on at once; the fewer, the more evenly a hot prompt spreads over versions."""
-
 
 @final
 @dataclass(frozen=True, slots=True)
 class VersionChoice:
-    """The versions that a call may begin at, ``None`` if any, and the preferred one."""
+    """The version that a stream must begin at, ``None`` if any will do.
+
+    With ``may_begin`` false, it can't begin at this VM for now.
+    """
 
-    allowed: frozenset[SoftwareVersion] | None = None
-    preferred: SoftwareVersion | None = None
+    version: SoftwareVersion | None = None
+    may_begin: bool = True
 
     def allows(self, version: SoftwareVersion) -> bool:
-        """Return whether the call may begin at ``version``."""
-        return self.allowed is None or version in self.allowed
+        """Return whether the stream may begin at ``version``."""
+        return self.may_begin and self.version in (None, version)
 
 
 ANY_VERSION = VersionChoice()
-NO_VERSION = VersionChoice(frozenset())
+NO_VERSION = VersionChoice(may_begin=False)
 
 
 def choice_key(head: CallHead) -> PartId:
@@ -56,20 +52,10 @@
     return PartId(head.resumes or head.id)
 
 
-def is_bound(call: CallId) -> bool:
-    """Return whether the stream of ``call`` may begin at the preferred version only."""
-    digest = blake2b(call.encode(), digest_size=1, person=b"bound").digest()
-    return digest[0] < BOUND_SHARE * 256
-
-
 def choose_version(
-    history: TargetHistory,
-    service: ServiceId,
-    key: PartId,
-    call: CallId,
-    now: Milliseconds,
+    history: TargetHistory, service: ServiceId, key: PartId, now: Milliseconds
 ) -> VersionChoice:
-    """Return where the stream of a new ``call`` may begin.
+    """Return where a new stream with this key may begin.
 
     A VM that just started can't tell which targets other VMs have not seen yet. Unless
     they all started, it begins no streams where there are several versions.
@@ -86,26 +72,20 @@
     ]
     if not seen_by_all:
         return ANY_VERSION
-    preferred = _ranked(key, seen_by_all)[0].software
-    if is_bound(call):
-        return VersionChoice(frozenset((preferred,)), preferred)
-    return VersionChoice(
-        frozenset(listing.software for listing in seen_by_all), preferred
-    )
+    return VersionChoice(_ranked(key, seen_by_all)[0].software)
 
 
 def possible_versions(
     history: TargetHistory,
     service: ServiceId,
     key: PartId,
-    call: CallId | None,
     now: Milliseconds,
     stream_age: Milliseconds | None = None,
 ) -> set[SoftwareVersion] | None:
-    """Return the versions at which the stream that ``call`` began may have begun.
+    """Return the versions at which a stream with this key may have begun.
 
-    ``call`` is ``None`` if it is not named. The stream is at most ``stream_age`` old,
-    if that is given. Returns ``None`` if this VM doesn't know all targets of that time.
+    It is at most ``stream_age`` old, if that is given. Returns ``None`` if this VM
+    doesn't know all targets of that time.
     """
     window = history.window if stream_age is None else history.window_of(stream_age)
     if not history.is_complete(now, window):
@@ -115,7 +95,7 @@
     if not any(listing.covers(start) for listing in listings):
         return None
     versions = {listing.software for listing in listings}
-    if len(versions) == 1 or call is None or not is_bound(call):
+    if len(versions) == 1:
         return versions
     possible: set[SoftwareVersion] = set()
     for listing in _ranked(key, listings):
