--- a/testing/edge/test_brittle_targets.py
+++ b/testing/edge/test_brittle_targets.py
@@ -19,8 +19,8 @@
 MAX_FALLS = 2 + TARGETS // 10
 """By the users' pages: two and a tenth of the targets."""
 
-MIN_SERVED_SHARE = 0.25
-"""Of the calls that the targets could run in that time: nearly all failed before."""
+MIN_SERVED_SHARE = 0.5
+"""Of the calls that the targets could run in that time."""
 
 WORK_MS = 50
 SLOTS = 2
@@ -33,8 +33,8 @@
 }
 
 
-@on_trio
-async def test_brittle_targets_do_not_fall_over_under_more_calls_than_they_hold():
+async def press_brittle_targets():
+    """Return how often the targets fell over, and the share of their calls served."""
     async with running_fleet(4, *[BRITTLE] * TARGETS, restart_s=3.0) as fleet:
         rng = random.Random(1)
         statuses = []
@@ -57,5 +57,17 @@
             target.max_waiting = 1
         await trio.sleep(DURATION_S)
         capacity = TARGETS * SLOTS * DURATION_S * 1_000 / WORK_MS
-        assert len(fleet.crashes) <= MAX_FALLS
-        assert statuses.count(200) >= MIN_SERVED_SHARE * capacity
+        return len(fleet.crashes), statuses.count(200) / capacity
+
+
+@on_trio
+async def test_brittle_targets_do_not_fall_over_under_more_calls_than_they_hold():
+    falls, _ = await press_brittle_targets()
+    assert falls <= MAX_FALLS
+
+
+@on_trio
+async def test_brittle_targets_serve_half_of_the_calls_that_they_can_hold():
+    _, served_share = await press_brittle_targets()
+    print(f"served {served_share:.2f}")
+    assert served_share >= MIN_SERVED_SHARE
