--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -226,3 +226,20 @@
     assert choose_version(fresh, DESK, key, now) == NO_VERSION
     later = at(STARTED_AT + 2_001)
     assert choose_version(fresh, DESK, key, later).version
+
+
+def test_vm_that_started_alone_finds_the_same_versions_as_one_that_kept_running():
+    old, fresh = history_of(V1, 0), TargetHistory()
+    for number in range(4):
+        old.record(target(f"n{number}", software=V2), at(STARTED_AT - 60_000))
+    for number in (0, 1):
+        old.remove(TargetId(f"t{number}"), at(STARTED_AT - 1_000))
+    listed = [("t2", V1), ("t3", V1), *((f"n{number}", V2) for number in range(4))]
+    for name, version in listed:
+        fresh.record(target(name, software=version), at(STARTED_AT))
+    exchange_once(fresh, old, STARTED_AT + 1_000)
+    now = STARTED_AT + 2_000
+    assert found(fresh, now) == found(old, now)
+    assert {V1} in found(fresh, now)
+    assert {V2} in found(fresh, now)
+    assert {V1, V2} in found(fresh, now)
