Log what a pause of a target was asked in, and health checks

The logs said only that a pause began, once, and nothing of health checks. So they could not tell pauses that are not recorded from requests that do not ask for them. Each answer that asks for a pause is logged now with what it answers and what is left, also a pause that is dropped; call_placed and health_check_sent have what is left of the target's pause, and health checks are counted. No decision changes.

--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -610,6 +610,9 @@
             resumes=call.head.resumes,
             resume_after=resume_after or call.head.resume_after,
             rested_ms=idle_time,
+            paused_ms=self._targets.time_paused(
+                placement.target.record.id, self._clock.now()
+            ),
             leaving_ms=self._targets.leaving_age(
                 placement.target.record, self._clock.now()
             ),
--- a/src/yuccafold/edge/_pauses.py
+++ b/src/yuccafold/edge/_pauses.py
@@ -24,17 +24,26 @@
         self._ends: dict[TargetId, Milliseconds] = {}
 
     def record_rejection(
-        self, target: TargetId, pause: Milliseconds, now: Milliseconds
+        self,
+        target: TargetId,
+        pause: Milliseconds,
+        now: Milliseconds,
+        answered: str | None = None,
     ) -> None:
         """Record that a target turned a call away and wants no others for a time.
 
-        An earlier answer may have asked for a longer one.
+        An earlier answer may have asked for a longer one. ``answered`` is what the
+        target was sent, for the log.
         """
-        was_paused = self.is_paused(target, now)
+        log_event(
+            "target_paused",
+            target=target,
+            answered=answered,
+            pause_ms=pause,
+            paused_ms=self.time_left(target, now),
+        )
         end = Milliseconds(now + min(pause, MAX_PAUSE))
         self._ends[target] = max(end, self._ends.get(target, end))
-        if not was_paused:
-            log_event("target_paused", target=target, pause_ms=pause)
 
     def is_paused(self, target: TargetId, now: Milliseconds) -> bool:
         """Return whether a target wants no calls."""
@@ -44,6 +53,9 @@
         """Return for how long a target wants no calls."""
         return Milliseconds(max(0, self._ends.get(target, now) - now))
 
-    def forget(self, target: TargetId) -> None:
+    def forget(self, target: TargetId, now: Milliseconds) -> None:
         """Drop the pause of a target that restarted or is gone."""
+        left = self.time_left(target, now)
+        if left:
+            log_event("pause_dropped", target=target, paused_ms=left)
         self._ends.pop(target, None)
--- a/src/yuccafold/edge/_reach_probe.py
+++ b/src/yuccafold/edge/_reach_probe.py
@@ -15,8 +15,10 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
+from yuccafold._log import log_event
 from yuccafold.edge._exchange import CONNECT_TIMEOUT
 from yuccafold.edge._exchange import connect
+from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._targets import Targets
 from yuccafold.http import HttpStream
@@ -53,11 +55,13 @@
         rng: random.Random,
         targets: Targets,
         on_cut: Callable[[ServiceId], None],
+        metrics: EdgeMetrics,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._targets = targets
         self._on_cut = on_cut
+        self._metrics = metrics
         self._asked: set[TargetId] = set()
 
     async def run(self) -> None:
@@ -90,6 +94,9 @@
 
     async def _try_target(self, target: TargetRecord) -> None:
         """Ask a target; it counts as out of reach while its answer is late."""
+        paused = self._targets.time_paused(target.id, self._clock.now())
+        self._metrics.count("health_checks", service=target.service)
+        log_event("health_check_sent", target=target.id, paused_ms=paused)
         try:
             with trio.move_on_after(LATE_ANSWER_TIMEOUT / MS_PER_SECOND):
                 async with trio.open_nursery() as nursery:
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -434,6 +434,10 @@
         """Return whether ``target`` wants no calls from this VM for now."""
         return self._pauses.is_paused(target, now)
 
+    def time_paused(self, target: TargetId, now: Milliseconds) -> Milliseconds:
+        """Return for how long ``target`` wants no calls from this VM."""
+        return self._pauses.time_left(target, now)
+
     def pause_left(self, service: ServiceId, now: Milliseconds) -> Milliseconds | None:
         """Return for how long all targets of ``service`` want no calls.
 
@@ -623,7 +627,9 @@
         Records as well for how long a target that turned the call away wants none.
         """
         if is_rejection and facts.pause is not None:
-            self._pauses.record_rejection(target.id, facts.pause, now)
+            self._pauses.record_rejection(
+                target.id, facts.pause, now, answered=call.head.id
+            )
         if is_rejection:
             admission = self._admissions.get(call.head.id, UNCOUNTED)
             self._evidence.sharing.record_rejection(admission, now)
@@ -720,7 +726,7 @@
         self._evidence.limits.forget(target)
         self._brittle.forget(target)
         self._cold.forget(target)
-        self._pauses.forget(target)
+        self._pauses.forget(target, now)
         self._evidence.slot_shares.forget(target)
         self._small_services.forget(target)
         self._holders.forget_target(target, now)
--- a/testing/edge/test_pauses.py
+++ b/testing/edge/test_pauses.py
@@ -29,5 +29,5 @@
 def test_target_that_restarted_is_not_paused():
     pauses = TargetPauses()
     pauses.record_rejection(T1, at(3_000), at(0))
-    pauses.forget(T1)
+    pauses.forget(T1, at(1))
     assert not pauses.is_paused(T1, at(1))
