Keep every pause that a target asks for, and send no health checks into it

Callers' requests, and this VM's health checks, reached targets that had asked for a pause. Cause: a pause belonged to one way in which an attempt ends. It was recorded after the attempt had ended as a refusal with X-Not-Executed, so it was lost with any other answer 503, if the caller left before the end of the answer, with the entry, and with a time of more than nine digits; and only what places calls asked for it, so health checks, one for each second without an answer, did not.

Now the head of any answer to a call or a health check is read for what it says of its target (pause, leaving) before anything else becomes of it. A pause belongs to one start of a target. Health checks ask for it like calls do; a target that has just asked for one is not probed for a crash. Times of many digits count as long ones.

--- a/src/yuccafold/edge/_detour.py
+++ b/src/yuccafold/edge/_detour.py
@@ -116,7 +116,8 @@
                 call.headers, call.head, left, relay.resume_after
             )
             await exchange.send(headers)
-            head, _ = await exchange.receive_head()
+            head, facts = await exchange.receive_head()
+            await exchange.check_answer(head, facts)
             await relay.relay_answer(exchange, head)
         finally:
             with trio.CancelScope(shield=True):
--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -67,8 +67,8 @@
 MISDIRECTED_REQUEST_STATUS = 421
 
 UNAVAILABLE_STATUS = 503
-"""A target that turns a call away asks for a pause by ``Retry-After`` with this status
-only; with 429 it is meant for one caller."""
+"""A target asks for a pause by ``Retry-After`` with this status only; with any other
+one it is meant for one caller."""
 
 
 class AttemptFailedError(Exception):
@@ -138,6 +138,11 @@
         """What the head of the answer to this call said; ``None`` before it."""
         return self._facts
 
+    @property
+    def asked_for_pause(self) -> bool:
+        """Whether the answer to this call said that the target wants no requests."""
+        return self._facts is not None and self._facts.pause is not None
+
     @property
     def answered(self) -> bool:
         """Whether the head of an answer to this call was received."""
@@ -211,10 +216,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise AttemptFailedError(Failure.BROKEN, "closed without an answer")
-            facts = self._translator.read_answer(tuple(event.headers))
+            facts = read_facts(self._translator, event)
             if facts.call_id in (None, self._call.head.id):
-                if event.status_code != UNAVAILABLE_STATUS:
-                    facts = replace(facts, pause=None)
                 self._facts = facts
                 self._framing = framing_of(self._call.method, event)
                 break
@@ -224,9 +227,24 @@
             raise AttemptFailedError(Failure.BROKEN, detail)
         if facts.idle_timeout is not None:
             self._idle_timeout = facts.idle_timeout
-        await self._check_answer(event, facts)
         return event, facts
 
+    async def check_answer(self, head: h11.Response, facts: AnswerFacts) -> None:
+        """Raise ``AttemptFailedError`` for an unsigned answer or a call not run.
+
+        Status 421 with the header for a call that was not run means that another target
+        has the address now.
+        """
+        if facts.not_run:
+            replaced = head.status_code == MISDIRECTED_REQUEST_STATUS
+            self._record.mark_not_run(reached_target=not replaced)
+            await self._discard_body()
+            failure = Failure.REPLACED if replaced else Failure.REFUSED
+            raise AttemptFailedError(failure, f"status {head.status_code}, not run")
+        if not facts.signed:
+            detail = f"status {head.status_code} without a signature"
+            raise AttemptFailedError(Failure.BROKEN, detail)
+
     async def receive(self) -> bytes | None:
         """Return the next bytes of the answer's body, or ``None`` at its end."""
         event = await self._next_event()
@@ -258,22 +276,6 @@
         state.start_next_cycle()
         await self._pool.put(self._target.address, http, Milliseconds(keep_for))
 
-    async def _check_answer(self, head: h11.Response, facts: AnswerFacts) -> None:
-        """Raise ``AttemptFailedError`` for an unsigned answer or a call not run.
-
-        Status 421 with the header for a call that was not run means that another target
-        has the address now.
-        """
-        if facts.not_run:
-            replaced = head.status_code == MISDIRECTED_REQUEST_STATUS
-            self._record.mark_not_run(reached_target=not replaced)
-            await self._discard_body()
-            failure = Failure.REPLACED if replaced else Failure.REFUSED
-            raise AttemptFailedError(failure, f"status {head.status_code}, not run")
-        if not facts.signed:
-            detail = f"status {head.status_code} without a signature"
-            raise AttemptFailedError(Failure.BROKEN, detail)
-
     async def _discard_body(self) -> None:
         with trio.move_on_after(DISCARD_TIMEOUT / MS_PER_SECOND):
             while isinstance(await self._next_event(), h11.Data):
@@ -326,6 +328,14 @@
         return self._http
 
 
+def read_facts(translator: CallTranslator, head: h11.Response) -> AnswerFacts:
+    """Return what the head of a target's answer says."""
+    facts = translator.read_answer(tuple(head.headers))
+    if head.status_code == UNAVAILABLE_STATUS:
+        return facts
+    return replace(facts, pause=None)
+
+
 async def connect(address: str) -> HttpStream:
     """Open a connection to a target; raises ``OSError`` or ``ValueError``."""
     host, _, port = address.rpartition(":")
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -33,6 +33,7 @@
 from yuccafold.edge._crash_probe import CrashProbe
 from yuccafold.edge._crash_probe import ProbeResult
 from yuccafold.edge._detour import Detour
+from yuccafold.edge._exchange import MISDIRECTED_REQUEST_STATUS
 from yuccafold.edge._exchange import AttemptFailedError
 from yuccafold.edge._exchange import Exchange
 from yuccafold.edge._health import Outcome
@@ -356,13 +357,10 @@
             outcome = _outcome_of(error.failure)
             if error.failure is Failure.UNREACHABLE:
                 self._record_unreached(target)
-            if self._reach.is_cut_off(call.service):
+            if self._reach.is_cut_off(call.service) or exchange.asked_for_pause:
                 outcome = Outcome.UNKNOWN
             if error.failure is Failure.REFUSED and exchange.facts is not None:
                 self._targets.record_contact(target.service, self._clock.now())
-                if exchange.facts.pause is not None:
-                    outcome = Outcome.UNKNOWN
-                await self._record_leaving(call, target, exchange.facts)
                 self._targets.record_limits(
                     call, target, exchange.facts, True, self._clock.now()
                 )
@@ -408,17 +406,18 @@
         )
         return Outcome.FAILED if is_failure else Outcome.UNKNOWN
 
-    async def _record_leaving(
+    async def _record_notices(
         self, call: Call, target: TargetRecord, facts: AnswerFacts
     ) -> None:
-        """Record whether an answer of ``target`` said that it is about to stop.
+        """Record what an answer of ``target`` says of itself, whatever becomes of it.
 
-        It is reported to other VMs at once, and idle connections to it are closed.
+        That it leaves is reported to other VMs at once, and idle connections to it are
+        closed.
         """
-        if not facts.leaving:
-            return
-        self._metrics.count("answers_of_leaving_targets", service=target.service)
-        if self._targets.record_leaving(target, call, self._clock.now()):
+        if facts.leaving:
+            self._metrics.count("answers_of_leaving_targets", service=target.service)
+        now = self._clock.now()
+        if self._targets.record_notices(target, facts, call.head.id, now):
             self._report_soon()
             await self._pool.discard(target.address)
 
@@ -432,6 +431,8 @@
         """
         if failure not in (Failure.BROKEN, Failure.SILENT):
             return None
+        if exchange.asked_for_pause:
+            return None
         with trio.CancelScope(shield=True):
             result = await self._crash_probe.probe(target)
         if result is not ProbeResult.ACCEPTED:
@@ -520,11 +521,13 @@
         await exchange.send(headers)
         race.record_sent()
         head, facts = await self._receive_head(call, target, exchange, relay, record)
+        if head.status_code != MISDIRECTED_REQUEST_STATUS:
+            await self._record_notices(call, target, facts)
+        await exchange.check_answer(head, facts)
         self._targets.record_contact(target.service, self._clock.now())
         self._quarantine.record_alive(
             crash_id(target.id, target.born_ms), now, self._clock.now()
         )
-        await self._record_leaving(call, target, facts)
         self._targets.record_prompt(call, target.id, self._clock.now())
         self._targets.record_answer_begun(call, self._clock.now())
         self._metrics.record_duration(
@@ -611,7 +614,7 @@
             resume_after=resume_after or call.head.resume_after,
             rested_ms=idle_time,
             paused_ms=self._targets.time_paused(
-                placement.target.record.id, self._clock.now()
+                placement.target.record, self._clock.now()
             ),
             leaving_ms=self._targets.leaving_age(
                 placement.target.record, self._clock.now()
--- a/src/yuccafold/edge/_pauses.py
+++ b/src/yuccafold/edge/_pauses.py
@@ -1,4 +1,4 @@
-"""Targets that turned a call away and want no others for some time."""
+"""Targets that answered that they want no requests for some time."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
+from yuccafold.edge._model import TargetRecord
 
 MAX_PAUSE = Milliseconds(3_600_000)
 """Longest pause that is kept. A target that asks for more would hardly be missed, but
@@ -15,47 +16,44 @@
 
 @final
 class TargetPauses:
-    """Until when targets want no calls from this VM.
+    """Until when targets want no requests from this VM.
 
-    A target asks each VM for itself, so other VMs aren't told.
+    A target asks each VM for itself, so other VMs aren't told. A pause belongs to one
+    start of a target: it outlasts an entry that lapses and comes back.
     """
 
     def __init__(self) -> None:
-        self._ends: dict[TargetId, Milliseconds] = {}
+        self._ends: dict[tuple[TargetId, int], Milliseconds] = {}
 
-    def record_rejection(
+    def record(
         self,
-        target: TargetId,
+        target: TargetRecord,
         pause: Milliseconds,
         now: Milliseconds,
-        answered: str | None = None,
+        answered: str,
     ) -> None:
-        """Record that a target turned a call away and wants no others for a time.
+        """Record that a target wants no requests for a time.
 
         An earlier answer may have asked for a longer one. ``answered`` is what the
         target was sent, for the log.
         """
         log_event(
             "target_paused",
-            target=target,
+            target=target.id,
             answered=answered,
             pause_ms=pause,
             paused_ms=self.time_left(target, now),
         )
+        self._ends = {start: end for start, end in self._ends.items() if end > now}
         end = Milliseconds(now + min(pause, MAX_PAUSE))
-        self._ends[target] = max(end, self._ends.get(target, end))
+        start = (target.id, target.born_ms)
+        self._ends[start] = max(end, self._ends.get(start, end))
 
-    def is_paused(self, target: TargetId, now: Milliseconds) -> bool:
-        """Return whether a target wants no calls."""
+    def is_paused(self, target: TargetRecord, now: Milliseconds) -> bool:
+        """Return whether a target wants no requests."""
         return self.time_left(target, now) > 0
 
-    def time_left(self, target: TargetId, now: Milliseconds) -> Milliseconds:
-        """Return for how long a target wants no calls."""
-        return Milliseconds(max(0, self._ends.get(target, now) - now))
-
-    def forget(self, target: TargetId, now: Milliseconds) -> None:
-        """Drop the pause of a target that restarted or is gone."""
-        left = self.time_left(target, now)
-        if left:
-            log_event("pause_dropped", target=target, paused_ms=left)
-        self._ends.pop(target, None)
+    def time_left(self, target: TargetRecord, now: Milliseconds) -> Milliseconds:
+        """Return for how long a target wants no requests."""
+        end = self._ends.get((target.id, target.born_ms), now)
+        return Milliseconds(max(0, end - now))
--- a/src/yuccafold/edge/_reach_probe.py
+++ b/src/yuccafold/edge/_reach_probe.py
@@ -18,8 +18,10 @@
 from yuccafold._log import log_event
 from yuccafold.edge._exchange import CONNECT_TIMEOUT
 from yuccafold.edge._exchange import connect
+from yuccafold.edge._exchange import read_facts
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._platform_source import CallTranslator
 from yuccafold.edge._targets import Targets
 from yuccafold.http import HttpStream
 
@@ -44,7 +46,8 @@
 class ReachProbe:
     """Asks targets of services that this VM may be cut off from for their health.
 
-    Any answer is contact; an accepted connection is none. While a cut is suspected, it
+    Targets in a pause aren't asked. Any answer is contact; an accepted connection is
+    none. While a cut is suspected, it
     asks targets that are not known to be out of reach; once the VM is cut off, any of
     them, one at a time. ``on_cut`` is called when a cut begins.
     """
@@ -56,12 +59,14 @@
         targets: Targets,
         on_cut: Callable[[ServiceId], None],
         metrics: EdgeMetrics,
+        translator: CallTranslator,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._targets = targets
         self._on_cut = on_cut
         self._metrics = metrics
+        self._translator = translator
         self._asked: set[TargetId] = set()
 
     async def run(self) -> None:
@@ -83,7 +88,12 @@
         self, service: ServiceId, unreached: Collection[TargetId], count: int
     ) -> list[TargetRecord]:
         """Return targets to ask, so that ``count`` are asked at a time."""
-        ready = self._targets.ready(service, self._clock.now())
+        now = self._clock.now()
+        ready = [
+            target
+            for target in self._targets.ready(service, now)
+            if not self._targets.is_paused(target, now)
+        ]
         asked = [target for target in ready if target.id in self._asked]
         untried = [
             target
@@ -94,9 +104,6 @@
 
     async def _try_target(self, target: TargetRecord) -> None:
         """Ask a target; it counts as out of reach while its answer is late."""
-        paused = self._targets.time_paused(target.id, self._clock.now())
-        self._metrics.count("health_checks", service=target.service)
-        log_event("health_check_sent", target=target.id, paused_ms=paused)
         try:
             with trio.move_on_after(LATE_ANSWER_TIMEOUT / MS_PER_SECOND):
                 async with trio.open_nursery() as nursery:
@@ -130,16 +137,26 @@
         except (OSError, ValueError, trio.TooSlowError):
             return False
         try:
-            return path is None or await _is_answered(http, target.address, path)
+            # The answer to a call may have asked for a pause while this one connected.
+            is_paused = self._targets.is_paused(target, self._clock.now())
+            return path is None or is_paused or await self._check(http, target, path)
         finally:
             await http.close()
 
-
-async def _is_answered(http: HttpStream, host: str, path: str) -> bool:
-    """Return whether a health check gets an answer, whatever it says."""
-    request = h11.Request(method="GET", target=path, headers=[("Host", host)])
-    try:
-        await http.send(request, h11.EndOfMessage())
-        return isinstance(await http.next_event(), h11.Response)
-    except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
-        return False
+    async def _check(self, http: HttpStream, target: TargetRecord, path: str) -> bool:
+        """Return whether a health check gets an answer, whatever it says."""
+        paused = self._targets.time_paused(target, self._clock.now())
+        self._metrics.count("health_checks", service=target.service)
+        log_event("health_check_sent", target=target.id, paused_ms=paused)
+        headers = [("Host", target.address)]
+        request = h11.Request(method="GET", target=path, headers=headers)
+        try:
+            await http.send(request, h11.EndOfMessage())
+            head = await http.next_event()
+        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
+            return False
+        if not isinstance(head, h11.Response):
+            return False
+        facts = read_facts(self._translator, head)
+        self._targets.record_notices(target, facts, path, self._clock.now())
+        return True
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -111,7 +111,12 @@
             self._report_soon,
         )
         self._reach_probe = ReachProbe(
-            clock, rng, self._targets, self._forwarder.record_cut, self._metrics
+            clock,
+            rng,
+            self._targets,
+            self._forwarder.record_cut,
+            self._metrics,
+            translator,
         )
         self._table = EntryTable()
         self._fleet_reports = FleetReports(self._targets.evidence.topics)
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -229,7 +229,7 @@
             known
             for known in self._ready(call.service, version, now)
             if choice.allows(known.record.software)
-            and not self._pauses.is_paused(known.record.id, now)
+            and not self._pauses.is_paused(known.record, now)
         ]
         repeatable = call.repeatability is not Repeatability.ONCE
         untried = [known for known in ready if known.record.id not in tried]
@@ -430,12 +430,12 @@
         count = loads.vm_count if is_fresh and not is_alone else 0
         self._cold.record_vm_count(count, now)
 
-    def is_paused(self, target: TargetId, now: Milliseconds) -> bool:
-        """Return whether ``target`` wants no calls from this VM for now."""
+    def is_paused(self, target: TargetRecord, now: Milliseconds) -> bool:
+        """Return whether ``target`` wants no requests from this VM for now."""
         return self._pauses.is_paused(target, now)
 
-    def time_paused(self, target: TargetId, now: Milliseconds) -> Milliseconds:
-        """Return for how long ``target`` wants no calls from this VM."""
+    def time_paused(self, target: TargetRecord, now: Milliseconds) -> Milliseconds:
+        """Return for how long ``target`` wants no requests from this VM."""
         return self._pauses.time_left(target, now)
 
     def pause_left(self, service: ServiceId, now: Milliseconds) -> Milliseconds | None:
@@ -444,7 +444,7 @@
         ``None`` if one of them takes calls or there is none.
         """
         left = [
-            self._pauses.time_left(known.record.id, now)
+            self._pauses.time_left(known.record, now)
             for known in self._view.ready(service, now)
         ]
         return (min(left) or None) if left else None
@@ -516,7 +516,7 @@
         ready = self._ready(call.service, version, now)
         return any(
             known.record.id != target.id
-            and not self._pauses.is_paused(known.record.id, now)
+            and not self._pauses.is_paused(known.record, now)
             for known in ready
         )
 
@@ -531,7 +531,7 @@
         known = self._view.known(target.id)
         if known is None or not self._view.may_send(target, now):
             return False
-        if self._pauses.is_paused(target.id, now):
+        if self._pauses.is_paused(target, now):
             return False
         rate = self._cold_rate(known, now)
         return not rate or self._cold.may_send(target.id, rate, now)
@@ -622,14 +622,7 @@
         is_rejection: bool,
         now: Milliseconds,
     ) -> None:
-        """Record the limit that an answer names, or that a brittle target needs.
-
-        Records as well for how long a target that turned the call away wants none.
-        """
-        if is_rejection and facts.pause is not None:
-            self._pauses.record_rejection(
-                target.id, facts.pause, now, answered=call.head.id
-            )
+        """Record the limit that an answer names, or that a brittle target needs."""
         if is_rejection:
             admission = self._admissions.get(call.head.id, UNCOUNTED)
             self._evidence.sharing.record_rejection(admission, now)
@@ -686,14 +679,23 @@
         services = call.admitted.catalogue.services
         return self._small_services.kept_connections(services.get(call.service))
 
-    def record_leaving(
-        self, target: TargetRecord, call: Call, now: Milliseconds
+    def record_notices(
+        self,
+        target: TargetRecord,
+        facts: AnswerFacts,
+        answered: str,
+        now: Milliseconds,
     ) -> bool:
-        """Record that ``target`` said in its answer to ``call`` that it leaves.
+        """Record whether ``target`` wants no requests for a time, and whether it leaves.
 
-        Returns whether it had not said so before.
+        Any answer may say so; ``answered`` is the call, or the path of a health check.
+        Returns whether the target had not said before that it leaves.
         """
-        return self._evidence.leaving.record_answer(target, call.head.id, now)
+        if facts.pause is not None:
+            self._pauses.record(target, facts.pause, now, answered)
+        return facts.leaving and self._evidence.leaving.record_answer(
+            target, answered, now
+        )
 
     def leaving_age(
         self, target: TargetRecord, now: Milliseconds
@@ -726,7 +728,6 @@
         self._evidence.limits.forget(target)
         self._brittle.forget(target)
         self._cold.forget(target)
-        self._pauses.forget(target, now)
         self._evidence.slot_shares.forget(target)
         self._small_services.forget(target)
         self._holders.forget_target(target, now)
--- a/src/yuccafold/edge/explain/_table.py
+++ b/src/yuccafold/edge/explain/_table.py
@@ -147,7 +147,7 @@
             yield RuledOut.CUT_OFF
         if target not in self._ready:
             yield from self._not_ready(known)
-        elif self._targets.is_paused(target, self._now):
+        elif self._targets.is_paused(known.record, self._now):
             yield RuledOut.PAUSED
         elif target not in self._allowed:
             yield RuledOut.OTHER_VERSION
--- a/src/yuccafold/platform/_headers.py
+++ b/src/yuccafold/platform/_headers.py
@@ -55,6 +55,9 @@
 )
 
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
+SECONDS = re.compile(r"([0-9]+)(\.[0-9]+)?", re.ASCII)
+MAX_SECONDS_DIGITS = 9
+"""Digits of a time in seconds; one of more of them counts as the longest of so many."""
 
 USUAL_PACE = 100
 """Fourth figure of a load report while work takes as long as usual."""
@@ -223,9 +226,14 @@
 
 def _parse_pause(text: str | None) -> Milliseconds | None:
     """Parse a time in seconds; a malformed value or 0 counts as none."""
-    if text is None or DECIMAL.fullmatch(text) is None:
+    match = None if text is None else SECONDS.fullmatch(text)
+    if match is None:
         return None
-    return seconds(float(text)) or None
+    whole = match[1].lstrip("0")
+    if len(whole) > MAX_SECONDS_DIGITS:
+        whole = "9" * MAX_SECONDS_DIGITS
+    fraction = (match[2] or "")[: MAX_SECONDS_DIGITS + 1]
+    return seconds(float(f"0{whole}{fraction}")) or None
 
 
 def _parse_idle_timeout(text: str | None) -> Milliseconds | None:
