Take only an answer that names its call on a connection that had one before

A target that writes an earlier refusal once more, without the call's id, had callers told "not run" of calls that it ran, or such a call ran at a second target; a copy of an earlier answer reached the next caller. Cause: an answer that names no call was taken for the answer to whichever call was waiting.

Targets name the call in each answer, and the router has relied on that for copies that name another one. Now it skips what names none as well, unless the connection is new, and does not keep a connection whose answer names none. Other VMs name none in their refusals and are still believed. The stand-in's refusals name their call, as those of targets do. Skipped answers are logged.

--- a/src/yuccafold/edge/_detour.py
+++ b/src/yuccafold/edge/_detour.py
@@ -100,6 +100,7 @@
             self._translator,
             record,
             self._clock,
+            names_calls=False,
         )
         try:
             await exchange.open(self._max_idle_time(call))
--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -13,6 +13,7 @@
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
+from yuccafold._log import log_event
 from yuccafold.edge._attempts import Failure
 from yuccafold.edge._call import Call
 from yuccafold.edge._call import RunRecord
@@ -88,7 +89,8 @@
 class Exchange:
     """Sends one call and receives its answer.
 
-    The task that runs the exchange owns the connection.
+    The task that runs the exchange owns the connection. Targets name the call that an
+    answer belongs to; ``names_calls`` is false for VMs, whose refusals name none.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         translator: CallTranslator,
         record: RunRecord,
         clock: Clock,
+        names_calls: bool = True,
     ) -> None:
         self._call = call
         self._target = target
@@ -106,6 +109,7 @@
         self._translator = translator
         self._record = record
         self._clock = clock
+        self._names_calls = names_calls
         self._http: HttpStream | None = None
         self._request: h11.Request | None = None
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
@@ -217,10 +221,18 @@
             if not isinstance(event, h11.Response):
                 raise AttemptFailedError(Failure.BROKEN, "closed without an answer")
             facts = read_facts(self._translator, event)
-            if facts.call_id in (None, self._call.head.id):
+            if self._is_own(facts):
                 self._facts = facts
                 self._framing = framing_of(self._call.method, event)
                 break
+            log_event(
+                "answer_skipped",
+                call=self._call.head.id,
+                target=self._target.id,
+                answers=facts.call_id,
+                status=event.status_code,
+                not_run=facts.not_run,
+            )
             await self._skip_foreign_answer()
         else:
             detail = f"no answer in {MAX_SKIPPED_HEADS} heads"
@@ -270,7 +282,11 @@
         is_complete = state.our_state is h11.DONE and state.their_state is h11.DONE
         keep_for = self._idle_timeout - IDLE_TIMEOUT_MARGIN
         is_leaving = self._facts is not None and self._facts.leaving
-        if not is_complete or is_leaving or state.trailing_data[0] or keep_for <= 0:
+        is_named = not self._names_calls or (
+            self._facts is not None and self._facts.call_id is not None
+        )
+        is_kept = is_complete and is_named and not is_leaving and keep_for > 0
+        if not is_kept or state.trailing_data[0]:
             await http.close()
             return
         state.start_next_cycle()
@@ -281,6 +297,16 @@
             while isinstance(await self._next_event(), h11.Data):
                 pass
 
+    def _is_own(self, facts: AnswerFacts) -> bool:
+        """Return whether an answer belongs to this call.
+
+        One that names no call may be a copy of an earlier answer, unless there was none
+        on this connection.
+        """
+        if facts.call_id is None:
+            return self._idle_time is None or not self._names_calls
+        return facts.call_id == self._call.head.id
+
     async def _skip_foreign_answer(self) -> None:
         """Read an answer to an earlier call, and expect the answer to this call next.
 
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -686,9 +686,9 @@
         answered: str,
         now: Milliseconds,
     ) -> bool:
-        """Record whether ``target`` wants no requests for a time, and whether it leaves.
+        """Record whether ``target`` wants no requests for a time, or leaves.
 
-        Any answer may say so; ``answered`` is the call, or the path of a health check.
+        Any answer may say so; ``answered`` is the call or the path of a health check.
         Returns whether the target had not said before that it leaves.
         """
         if facts.pause is not None:
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -188,13 +188,18 @@
         attempt = attempt_of(request)
         expected = request.header("x-expect-instance")
         if expected not in (None, self.id):
-            headers = (("X-Engine-Id", self.id), NOT_RUN, *self._notice())
+            headers = (
+                ("X-Engine-Id", self.id),
+                (ATTEMPT_HEADER, attempt),
+                NOT_RUN,
+                *self._notice(),
+            )
             return await exchange.respond(421, b"", headers)
         self._record_cold_arrival()
         if self.mode is TargetMode.FULL:
-            return await exchange.respond(503, b"", self._rejection())
+            return await exchange.respond(503, b"", self._rejection(attempt))
         if not self._has_room():
-            await exchange.respond(503, b"", self._rejection())
+            await exchange.respond(503, b"", self._rejection(attempt))
             return self._record_rejection()
         self._held += 1
         try:
@@ -279,10 +284,10 @@
         self._server.crash()
         await trio.sleep_forever()
 
-    def _rejection(self) -> tuple[tuple[str, str], ...]:
+    def _rejection(self, attempt: str) -> Headers:
         """Return the headers with which a call is turned away."""
         pause = () if self.retry_after is None else (("Retry-After", self.retry_after),)
-        return (NOT_RUN, *pause, *self._notice())
+        return ((ATTEMPT_HEADER, attempt), NOT_RUN, *pause, *self._notice())
 
     def _notice(self) -> Headers:
         notice = LEAVING if self.leaving else ()
--- a/testing/edge/test_pausing_targets.py
+++ b/testing/edge/test_pausing_targets.py
@@ -36,7 +36,8 @@
 def ask_for_a_pause(pausing, *headers, pause_s=PAUSE_S):
     """Have ``pausing`` turn calls away with ``headers``."""
     pausing.mode = TargetMode.FULL
-    pausing._rejection = lambda: (*headers, ("Retry-After", f"{pause_s}"))
+    pause = ("Retry-After", f"{pause_s}")
+    pausing._rejection = lambda attempt: (("X-Attempt-Id", attempt), *headers, pause)
 
 
 async def call_until_pausing(edge, pausing, path, pause_s=PAUSE_S):
