Refuse numbers and texts from outside that are out of range, wherever they are read

An entry among those of targets with a number like 1e400 ended the reader of each VM by OverflowError. It was started again, later each time; with the entry written again and again, VMs did not learn of targets that joined or left. Cause: each place that reads something from outside had its own idea of what may be wrong with it, and of the errors that reading it raises.

JSON from the store and other VMs, header figures, ids of events and settings are now parsed with bounds, and everything out of range raises ValueError: infinite numbers, more than 20 digits, too many levels, half characters. Ids that can't be sent in headers or in lists between VMs, addresses that are none (port 0 as well) and more than 65,536 slots make an entry malformed; a placement loops over slots. Whatever decoding an entry raises, it counts as removed and the others are read.

--- a/src/yuccafold/edge/_history_exchange.py
+++ b/src/yuccafold/edge/_history_exchange.py
@@ -10,6 +10,8 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
+from yuccafold._parsing import MALFORMED_ERRORS
+from yuccafold._parsing import parse_json
 from yuccafold.edge._target_history import MAX_ROWS
 from yuccafold.edge._target_history import TargetHistory
 
@@ -59,7 +61,7 @@
             if ROWS_FIELD in fields:
                 rows_age = Milliseconds(int(fields[ROWS_AGE_FIELD]))
                 self._history.merge(fields[ROWS_FIELD], rows_age, now)
-        except (ValueError, TypeError, KeyError) as error:
+        except MALFORMED_ERRORS as error:
             log_event("history_malformed", error=str(error))
 
 
@@ -74,10 +76,10 @@
     try:
         if ROWS_FIELD in fields:
             rows_age = Milliseconds(int(fields[ROWS_AGE_FIELD]))
-            history.merge(json.loads(fields[ROWS_FIELD]), rows_age, now)
+            history.merge(parse_json(fields[ROWS_FIELD]), rows_age, now)
         if AGE_FIELD in fields:
             peer_age = Milliseconds(int(fields[AGE_FIELD]))
-    except (ValueError, TypeError, KeyError) as error:
+    except MALFORMED_ERRORS as error:
         log_event("history_malformed", vm=fields.get("vm"), error=str(error))
     answer = _fields(history, peer_age, now)
     if DEPARTED_FIELD in fields:
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -22,6 +22,9 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import VmId
 from yuccafold._log import log_event
+from yuccafold._parsing import MALFORMED_ERRORS
+from yuccafold._parsing import MAX_INT_DIGITS
+from yuccafold._parsing import parse_json
 from yuccafold.edge._delta import apply_delta
 from yuccafold.edge._delta import make_delta
 from yuccafold.edge._entries import LONG_VALUE_BYTES
@@ -167,21 +170,14 @@
             )
             if status != 200:
                 raise PlatformUnavailableError(f"status {status}")
-            answer = json.loads(body)
+            answer = parse_json(body)
             now = self._clock.now()
             self._suspects.record_answer(answer, now)
             self._streams.record_answer(answer, now)
             self._history.record_answer(answer, now)
             self._newer_settings = self._settings(answer)
             return self._evidence.topics.parse(answer, now)
-        except (
-            CallFailedError,
-            ValueError,
-            TypeError,
-            KeyError,
-            AttributeError,
-            zlib.error,
-        ) as error:
+        except (CallFailedError, *MALFORMED_ERRORS) as error:
             raise PlatformUnavailableError(repr(error)) from error
 
     async def close(self) -> None:
@@ -198,7 +194,7 @@
         if status != 200:
             raise PlatformUnavailableError(f"status {status}")
         try:
-            answer = json.loads(body)
+            answer = parse_json(body)
             era = self._era_of(answer)
             position = position_of(era, int(answer["position"]))
             is_earlier = era < self._table.era
@@ -224,7 +220,7 @@
                 self._streams.record_answer(answer, now)
                 self._history.record_answer(answer, now)
             return changes, bool(answer["whole"])
-        except (ValueError, TypeError, KeyError, zlib.error) as error:
+        except MALFORMED_ERRORS as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
 
     def _record_start(self, answer: dict[str, Any]) -> None:
@@ -262,7 +258,7 @@
         row = answer.get(SETTINGS_FIELD)
         try:
             return None if row is None else self._entry(row, NO_ERA)
-        except (ValueError, TypeError, KeyError, zlib.error) as error:
+        except MALFORMED_ERRORS as error:
             log_event("settings_malformed", source=self.name, error=str(error))
             return None
 
@@ -277,7 +273,7 @@
             base = self._table.version_at(key, base_position)
             if base is None or base.position != base_position or base.value is None:
                 raise ValueError(f"expected {key} of revision {row['base']} as base")
-            delta = json.loads(_decompress(row["delta"]))
+            delta = parse_json(_decompress(row["delta"]))
             return Entry(key, position, apply_delta(base.value, delta))
         if row.get("value") is None:
             return Entry(key, position, None)
@@ -368,10 +364,10 @@
         store came back from a copy.
         """
         after, era = query.get("after", ""), query.get(ERA_FIELD, "")
-        if not after.isdigit():
+        if not _is_number(after):
             return START
         return position_of(
-            StoreEra(int(era)) if era.isdigit() else self._table.era, int(after)
+            StoreEra(int(era)) if _is_number(era) else self._table.era, int(after)
         )
 
     def _newer_settings(self, query: dict[str, str]) -> dict[str, Any]:
@@ -382,7 +378,7 @@
         """
         in_force = self._table.in_force
         version, era = query.get(SETTINGS_FIELD, ""), query.get(ERA_FIELD, "")
-        if in_force is None or not version.isdigit() or not era.isdigit():
+        if in_force is None or not _is_number(version) or not _is_number(era):
             return {}
         was_lost = int(era) > era_of(in_force.entry.position)
         if not was_lost or int(version) >= in_force.version:
@@ -441,11 +437,15 @@
     view_age = int(answer["age_ms"])
     try:
         return Milliseconds(int(answer.get(KEYS_AGE_FIELD, view_age)))
-    except (ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         log_event("keys_age_malformed", error=str(error))
         return Milliseconds(view_age)
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_INT_DIGITS
+
+
 def _room(query: dict[str, Any]) -> int:
     """Return how many bytes may be added to a query."""
     return MAX_QUERY_BYTES - len(urlencode(query))
--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -28,6 +28,9 @@
 """Answers up to this size are held until they are complete, so that a call whose answer
 breaks off can be retried. Larger ones are relayed as they arrive."""
 
+MAX_EVENT_ID_DIGITS = 18
+"""Digits of an event's id; one of more of them doesn't count as a number."""
+
 MAX_EVENT_BYTES = 262_144
 """Largest event of a stream that may be resumed: such events are sent on as a whole."""
 
@@ -126,7 +129,8 @@
     for line in LINE_ENDS.split(event):
         if line.startswith(EVENT_ID):
             text = line[len(EVENT_ID) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS
+            return int(text) if is_number else None
     return None
 
 
--- a/src/yuccafold/edge/_stream_exchange.py
+++ b/src/yuccafold/edge/_stream_exchange.py
@@ -9,6 +9,8 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
+from yuccafold._parsing import MALFORMED_ERRORS
+from yuccafold._parsing import parse_json
 from yuccafold.edge._stream_versions import NOTHING_REPORTED
 from yuccafold.edge._stream_versions import StreamVersions
 
@@ -50,7 +52,7 @@
             return
         try:
             self._merge(fields, now)
-        except (ValueError, TypeError, KeyError) as error:
+        except MALFORMED_ERRORS as error:
             log_event("streams_malformed", vm=self._peer, error=str(error))
 
     def _merge(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
@@ -73,11 +75,11 @@
     """
     reader = fields.get("vm", "")
     try:
-        streams.merge(json.loads(fields.get(STREAMS_FIELD, "{}")), reader, now)
+        streams.merge(parse_json(fields.get(STREAMS_FIELD, "{}")), reader, now)
         after = int(fields.get(POSITION_FIELD, NOTHING_REPORTED))
         reports_age = Milliseconds(int(fields.get(AGE_FIELD, 0)))
         streams.record_reports_age(reports_age, now)
-    except (ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         log_event("streams_malformed", vm=reader, error=str(error))
         after = NOTHING_REPORTED
     if fields.get(EPOCH_FIELD) != streams.epoch:
--- a/src/yuccafold/edge/_suspect_exchange.py
+++ b/src/yuccafold/edge/_suspect_exchange.py
@@ -8,6 +8,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
+from yuccafold._parsing import MALFORMED_ERRORS
 from yuccafold.edge._quarantine import NOTHING_REPORTED
 from yuccafold.edge._quarantine import Quarantine
 from yuccafold.edge._suspects import ENTRY_SEPARATOR
@@ -55,7 +56,7 @@
             return
         try:
             self._merge(fields, now)
-        except (ValueError, TypeError, KeyError) as error:
+        except MALFORMED_ERRORS as error:
             log_event("suspects_malformed", vm=self._peer, error=str(error))
 
     def _merge(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
@@ -82,7 +83,7 @@
         quarantine.record_contact(now)
         quarantine.merge(evidence, reader, now)
         after = int(fields.get(POSITION_FIELD, NOTHING_REPORTED))
-    except ValueError as error:
+    except MALFORMED_ERRORS as error:
         log_event("suspects_malformed", vm=reader, error=str(error))
         after = NOTHING_REPORTED
     if fields.get(EPOCH_FIELD) != quarantine.epoch:
--- a/src/yuccafold/edge/reports/_topics.py
+++ b/src/yuccafold/edge/reports/_topics.py
@@ -11,6 +11,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._log import log_event
+from yuccafold._parsing import MALFORMED_ERRORS
 from yuccafold.edge.reports._topic import VMS_FIELD
 from yuccafold.edge.reports._topic import Topic
 from yuccafold.edge.reports._topic import VmReport
@@ -98,11 +99,11 @@
                 continue
             try:
                 values[topic.name] = topic.parse(str(fields[topic.name]), now)
-            except ValueError as error:
+            except MALFORMED_ERRORS as error:
                 _log_malformed(topic.name, fields, error)
         try:
             vms = parse_count(str(fields.get(VMS_FIELD, 1)))
-        except ValueError as error:
+        except MALFORMED_ERRORS as error:
             _log_malformed(VMS_FIELD, fields, error)
             vms = 1
         return VmReport(values, vms)
@@ -113,7 +114,7 @@
             topic.record(total, local_part, now)
 
 
-def _log_malformed(name: str, fields: Mapping[str, Any], error: ValueError) -> None:
+def _log_malformed(name: str, fields: Mapping[str, Any], error: Exception) -> None:
     log_event(
         "report_malformed", topic=name, vm=fields.get("vm"), error=f"{error!s:.200}"
     )
--- a/src/yuccafold/platform/_catalogue.py
+++ b/src/yuccafold/platform/_catalogue.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
+
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import AccountId
 from yuccafold._ids import ServiceId
@@ -30,6 +33,12 @@
 DEFAULT_EVENT_GAP_MS = 1_000
 """Objective for the time between two events of a stream if a route states none."""
 
+MAX_SLOTS = 65_536
+"""Largest number of slots of a target; an entry with more is malformed."""
+
+TARGET_ID = re.compile(r"[0-9A-Za-z][0-9A-Za-z._-]{0,199}", re.ASCII)
+"""Ids are sent in headers, and in lists that VMs send each other."""
+
 
 def read_catalogue(data: bytes) -> Catalogue:
     """Parse a configuration; raises ``ValueError`` if it is malformed."""
@@ -141,14 +150,19 @@
 def read_target(id: TargetId, data: bytes) -> TargetRecord:
     """Parse the entry of a target; raises ``ValueError`` if it is malformed."""
     source = parse_object(data)
+    if TARGET_ID.fullmatch(id) is None:
+        raise ValueError(f"expected the id of a target, got {id!r:.40}")
     address = field(source, "address", str)
-    SocketAddress.parse(address)
+    _check_address(address)
+    slots = round(number(source, "slots", 1))
+    if not 0 <= slots <= MAX_SLOTS:
+        raise ValueError(f"slots: expected 0 to {MAX_SLOTS}, got {slots}")
     return TargetRecord(
         id=id,
         service=ServiceId(field(source, "service", str)),
         address=address,
         zone=ZoneId(field(source, "zone", str)),
-        slots=round(number(source, "slots", 1)),
+        slots=slots,
         state=TargetState(field(source, "state", str)),
         # ``born`` holds the start time of the target in Unix milliseconds.
         born_ms=round(number(source, "born", 0)),
@@ -157,11 +171,19 @@
     )
 
 
+def _check_address(text: str) -> None:
+    address = SocketAddress.parse(text)
+    ipaddress.IPv4Address(address.host)
+    if str(address) != text or not address.port:
+        raise ValueError(f"address: expected one like 10.0.0.1:80, got {text!r:.40}")
+
+
 def _cold_time(source: JsonObject) -> Milliseconds:
     """Return how much longer a target is cold; 0 if the entry has no usable figure."""
-    cold_ms = source.get("cold_remaining_ms")
-    is_number = isinstance(cold_ms, int | float) and not isinstance(cold_ms, bool)
-    return Milliseconds(max(0, round(cold_ms)) if is_number else 0)
+    try:
+        return Milliseconds(max(0, round(number(source, "cold_remaining_ms", 0))))
+    except ValueError:
+        return Milliseconds(0)
 
 
 def _software(source: JsonObject) -> SoftwareVersion:
@@ -171,4 +193,6 @@
     """
     version = source.get("version")
     is_name = isinstance(version, str | int) and not isinstance(version, bool)
-    return SoftwareVersion(str(version) if is_name else "")
+    name = str(version) if is_name else ""
+    name.encode()
+    return SoftwareVersion(name)
--- a/src/yuccafold/platform/_headers.py
+++ b/src/yuccafold/platform/_headers.py
@@ -54,6 +54,7 @@
     }
 )
 
+COUNT = re.compile(r"[0-9]{1,15}", re.ASCII)
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 SECONDS = re.compile(r"([0-9]+)(\.[0-9]+)?", re.ASCII)
 MAX_SECONDS_DIGITS = 9
@@ -167,7 +168,7 @@
 
 
 def _parse_count(text: str) -> int:
-    if not text.isascii() or not text.isdigit():
+    if COUNT.fullmatch(text) is None:
         raise ValueError(f"expected a whole number, got {text!r:.40}")
     return int(text)
 
@@ -197,7 +198,7 @@
     """
     parts = [] if text is None else [part.strip() for part in text.split(",")]
     counts = parts[:3]
-    if len(counts) < 3 or not all(part.isascii() and part.isdigit() for part in counts):
+    if len(counts) < 3 or not all(map(COUNT.fullmatch, counts)):
         return None
     pace = parts[3] if len(parts) > 3 else ""
     slowdown = float(pace) / USUAL_PACE if DECIMAL.fullmatch(pace) else None
@@ -213,7 +214,7 @@
 
 def _parse_optional_count(text: str | None) -> int | None:
     """Parse a whole number; a malformed value counts as none."""
-    if text is None or not text.isascii() or not text.isdigit():
+    if text is None or COUNT.fullmatch(text) is None:
         return None
     return int(text)
 
@@ -240,6 +241,6 @@
     """Parse the timeout of ``Keep-Alive: timeout=SECONDS``."""
     for part in (text or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdigit():
+        if name.strip().lower() == "timeout" and COUNT.fullmatch(value.strip()):
             return Milliseconds(int(value) * MS_PER_SECOND)
     return None
--- a/src/yuccafold/platform/_settings.py
+++ b/src/yuccafold/platform/_settings.py
@@ -9,6 +9,7 @@
 from yuccafold._clock import seconds
 from yuccafold._ids import VmId
 from yuccafold._ids import ZoneId
+from yuccafold._parsing import parse_number
 from yuccafold.edge import EdgeSettings
 from yuccafold.edge import FeatureMode
 from yuccafold.edge import PartId
@@ -55,18 +56,16 @@
         apply_within=read("bounds.config_apply_ms", _parse_milliseconds),
         drain_within=read("bounds.drain_timeout_ms", _parse_milliseconds),
         grace_period=read("bounds.grace_period_s", _parse_seconds),
-        retry_ratio=read("bounds.retry_budget_ratio", float),
-        retry_slack=read("bounds.retry_budget_slack", float),
-        load_multiple=read("bounds.cap_x", float),
+        retry_ratio=read("bounds.retry_budget_ratio", parse_number),
+        retry_slack=read("bounds.retry_budget_slack", parse_number),
+        load_multiple=read("bounds.cap_x", parse_number),
         metrics_port=metrics_port,
         exempt_parts=_parse_parts(fields.get("quarantine.exempt_parts", "")),
         sharing=read("sharing", _parse_mode, FeatureMode.AUTO.value),
         placing_by_work=read("placing_by_work", _parse_mode, FeatureMode.AUTO.value),
-        cold_multiple=read("bounds.cold_overage", float, "1"),
-        cold_slack=read("bounds.cold_slack", float, "0"),
-        evacuate_within=_parse_optional_milliseconds(
-            fields.get("bounds.evacuation_ms", "")
-        ),
+        cold_multiple=read("bounds.cold_overage", parse_number, "1"),
+        cold_slack=read("bounds.cold_slack", parse_number, "0"),
+        evacuate_within=read("bounds.evacuation_ms", _parse_optional_milliseconds, ""),
         heartbeat_interval=read(
             "heartbeat_interval_ms", _parse_milliseconds, DEFAULT_HEARTBEAT_INTERVAL_MS
         ),
@@ -87,7 +86,7 @@
 
 
 def _parse_milliseconds(text: str) -> Milliseconds:
-    return Milliseconds(round(float(text)))
+    return Milliseconds(round(parse_number(text)))
 
 
 def _parse_optional_milliseconds(text: str) -> Milliseconds | None:
@@ -95,7 +94,7 @@
 
 
 def _parse_seconds(text: str) -> Milliseconds:
-    return seconds(float(text))
+    return seconds(parse_number(text))
 
 
 def _parse_mode(text: str) -> FeatureMode:
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -247,17 +247,17 @@
 def decode(entry: Entry) -> PlatformFact | None:
     """Decode an entry; ``None`` if the router doesn't use it.
 
-    A malformed target entry counts as removed. A malformed or removed configuration is
-    ignored.
+    A malformed target entry counts as removed, whatever is wrong with it. A malformed
+    or removed configuration is ignored.
     """
     try:
         return _fact(entry)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except Exception as error:  # an entry must not keep the others from being read
         log_event(
             "entry_malformed",
             key=entry.key,
             revision=revision_of(entry.position),
-            error=str(error),
+            error=f"{error!r:.200}",
         )
         return _target_gone(entry)
 
--- a/src/yuccafold/router/_operator.py
+++ b/src/yuccafold/router/_operator.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from yuccafold._parsing import parse_json
 from yuccafold.http import AnswerWriter
 from yuccafold.http import CallerGone
 from yuccafold.http import HttpStream
@@ -82,7 +83,7 @@
         if body is None:
             return OperatorAnswer(413, {"error": "expected a smaller body"})
         try:
-            value = json.loads(body) if body else None
+            value = parse_json(body) if body else None
         except ValueError as error:
             return OperatorAnswer(400, {"error": f"expected JSON: {error}"})
         return await handler(OperatorRequest(dict(parse_qsl(url.query)), value))
--- a/testing/edge/explain/played_vm.py
+++ b/testing/edge/explain/played_vm.py
@@ -296,7 +296,8 @@
 
 
 def leave(vm):
-    vm.targets.record_leaving(vm.some(), vm.sample, vm.now)
+    facts = AnswerFacts(None, True, False, leaving=True)
+    vm.targets.record_notices(vm.some(), facts, vm.sample.head.id, vm.now)
 
 
 def drain(vm):
@@ -357,6 +358,7 @@
     some = vm.some()
     alike = [known.record for known in vm.view.present(some.service)]
     for record in alike if vm.play.random() < 0.5 else [some]:
+        vm.targets.record_notices(record, facts, vm.sample.head.id, vm.now)
         vm.targets.record_limits(vm.sample, record, facts, True, vm.now)
 
 
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -293,8 +293,16 @@
                 "entries": [{"key": "a", "revision": 1, "value": "not base64!"}],
             }
         ),
+        "[" * 100_000,
+        '{"position": 1e400}',
+        '{"position": NaN}',
+        '{"position": %s}' % ("9" * 400),
+        '{"position": 1, "entries": [[]], "age_ms": 1, "in_outage": 0, "whole": 0}',
+    ],
+    ids=[
+        *("text", "list", "no-entries", "value"),
+        *("levels", "number", "no-number", "digits", "row"),
     ],
-    ids=["text", "list", "no-entries", "value"],
 )
 def test_malformed_answer_raises_platform_unavailable(text):
     @on_trio
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -201,3 +201,33 @@
 def test_sign_of_a_brittle_target_is_read_from_any_answer(text, expected):
     facts = HeaderTranslator().read_answer(((b"server-brittle", text),))
     assert facts.brittle == expected
+
+
+@pytest.mark.parametrize(
+    "value", ["1e400", "9" * 400, "9" * 5_000, "nan", "\xb2", "-1"]
+)
+@pytest.mark.parametrize(
+    ("header", "fact"),
+    [
+        ("server-brittle", "brittle"),
+        ("server-limit", "limit"),
+        ("x-cold-ms", "cold_for"),
+        ("keep-alive", "idle_timeout"),
+        ("x-engine-load", "load"),
+    ],
+)
+def test_number_of_an_answer_that_is_out_of_range_counts_as_none(header, fact, value):
+    text = {"keep-alive": f"timeout={value}", "x-engine-load": f"1,{value},8"}
+    line = (header.encode(), text.get(header, value).encode("latin-1"))
+    assert getattr(HeaderTranslator().read_answer((line,)), fact) is None
+
+
+@pytest.mark.parametrize("value", ["9" * 400, "9" * 5_000, "\xb2", "1e4"])
+@pytest.mark.parametrize(
+    "header", ["x-deadline-ms", "x-token-counts", "x-prompt-prefix"]
+)
+def test_number_of_a_call_that_is_out_of_range_raises(header, value):
+    text = {"x-token-counts": f"1,{value}", "x-prompt-prefix": f"ab:{value}"}
+    line = (header.encode(), text.get(header, value).encode("latin-1"))
+    with pytest.raises(ValueError, match="whole number"):
+        HeaderTranslator().read_call(((b"x-attempt-id", b"a"), line))
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -81,3 +81,24 @@
     faulty = "" if name == "zone" else f"{name}=nonsense"
     with pytest.raises(ValueError, match=message):
         read_settings(SETTINGS.replace(line, faulty))
+
+
+@pytest.mark.parametrize("value", ["1e400", "-1e400", "nan", "inf", "9" * 5_000])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "bounds.revocation_ms",
+        "bounds.grace_period_s",
+        "bounds.retry_budget_ratio",
+        "bounds.retry_budget_slack",
+        "bounds.cap_x",
+        "bounds.cold_overage",
+        "bounds.cold_slack",
+        "bounds.evacuation_ms",
+        "heartbeat_interval_ms",
+        "platform.history_s",
+    ],
+)
+def test_setting_with_a_number_out_of_range_raises_with_its_name(name, value):
+    with pytest.raises(ValueError, match=name):
+        read_settings(f"{SETTINGS}\n{name}={value}\n")
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -16,6 +16,7 @@
 from yuccafold.edge import Entry
 from yuccafold.edge import HistoryLostError
 from yuccafold.edge import PlatformUnavailableError
+from yuccafold.edge import Position
 from yuccafold.edge import Repeatability
 from yuccafold.edge import SocketAddress
 from yuccafold.edge import TargetGone
@@ -203,6 +204,17 @@
             nursery.cancel_scope.cancel()
 
 
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "name", ["", "a,b", "a:b", "a b", "a\r\nb", "\u00e9", "\ud800", "x" * 201]
+)
+def test_entry_whose_key_names_no_target_counts_as_removed(name):
+    entry = Entry(f"servers/{name}", Position(1), wire_target("10.0.0.1:80"))
+    assert decode(entry) == TargetGone(name)
+
+
 @pytest.mark.parametrize(
     "value",
     [
@@ -213,6 +225,28 @@
         pytest.param(wire_target("nowhere"), id="address"),
         pytest.param(wire_target("10.0.0.1:80", service=7), id="service"),
         pytest.param(wire_target("10.0.0.1:80", slots="six"), id="slots"),
+        pytest.param(wire_target("10.0.0.1:80", slots=-1), id="negative"),
+        pytest.param(wire_target("10.0.0.1:80", slots=10**9), id="too-many-slots"),
+        pytest.param(wire_target("10.0.0.1:80", born=10**18), id="late"),
+        pytest.param(wire_target("10.0.0.1:80", zone="\ud800"), id="half-character"),
+        pytest.param(wire_target("10.0.0.1:80", version="\ud800"), id="half-version"),
+        pytest.param(wire_target("10.0.0.1:0"), id="port-0"),
+        pytest.param(wire_target("10.0.0.1:65536"), id="port"),
+        pytest.param(wire_target("10.0.0.1:-80"), id="negative-port"),
+        pytest.param(wire_target("10.0.0.1:" + "9" * 5_000), id="long-port"),
+        pytest.param(wire_target("10.0.0.1:\u0668"), id="arabic-port"),
+        pytest.param(wire_target("a\r\nb:80"), id="line"),
+        pytest.param(
+            wire_target("10.0.0.1:80", more=[[]]).replace(b"[]", DEEP), id="x"
+        ),
+        *(
+            pytest.param(
+                wire_target("10.0.0.1:80", **{name: 7}).replace(b": 7", b": " + number),
+                id=f"{name}-{number[:9].decode()}",
+            )
+            for name in ("slots", "born", "cold_remaining_ms", "sequence", "unknown")
+            for number in (b"1e400", b"-1e999", b"9" * 400, b"9" * 5_000, b"NaN")
+        ),
     ],
 )
 def test_malformed_target_entry_counts_as_removed_and_others_stay(value):
