Have a VM that was out of step know that it missed changes of targets

A VM that was cut off from the others or stood still took its history of targets for complete. Other VMs send only the latest entry of each target, so one that had joined and left meanwhile was never seen.

The reader now records a gap if changes come from another VM after its view was older than the lag. Until a history that reaches back further closes it, the VM's own reaches back to its end only, which makes such streams unknown instead of evident, and it begins none where there are several versions. It asks again at once, so that this takes one exchange. What the store sends is every change, so it leaves no gap.

--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -314,6 +314,7 @@
         """Apply what is new at ``source``; return the age of its view."""
         started = self._clock.now()
         known = self._table.position
+        seen_until = self._view.confirmed_at
         if self._needs_list:
             age, keys_age = await self._read_all(source)
         else:
@@ -329,6 +330,8 @@
                 if (self._view.age(started) or 0) > self._max_peer_view_age:
                     self._check_not_earlier(source, changes.position, known)
                 return age
+        if source is not self._store and self._table.position > known:
+            self._record_gap(seen_until)
         self._view.confirm(
             Milliseconds(started - age),
             Milliseconds(started - (age if keys_age is None else keys_age)),
@@ -338,6 +341,19 @@
             self._targets.forget(target, started)
         return age
 
+    def _record_gap(self, seen_until: Milliseconds | None) -> None:
+        """Record a gap in the history of targets, if this VM was out of step for long.
+
+        Other VMs send only the latest entry of each target, unlike the store.
+        """
+        now = self._clock.now()
+        history = self._view.history
+        if seen_until is None or now - seen_until <= history.lag:
+            return
+        history.record_gap(seen_until, now)
+        log_event("history_gap", missed_ms=now - seen_until)
+        self._recheck.set()
+
     async def _read_all(
         self, source: PlatformSource
     ) -> tuple[Milliseconds, Milliseconds | None]:
--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -44,6 +44,9 @@
 SAME_LISTING_TOLERANCE = Milliseconds(2_000)
 """Two VMs see a target leave at most this far apart."""
 
+GAP_CLOSING_TIME = Milliseconds(500)
+"""Within this time another VM usually tells what changed in a gap."""
+
 
 @final
 @dataclass(slots=True)
@@ -74,6 +77,18 @@
         )
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class HistoryGap:
+    """A time in which targets may have come and gone without this VM seeing it.
+
+    It has seen what was left of the changes at the end.
+    """
+
+    began_at: Milliseconds
+    ended_at: Milliseconds
+
+
 @final
 class TargetHistory:
     """The listings of targets since the horizon, seen here or reported by other VMs.
@@ -95,6 +110,7 @@
         self._closed: list[Listing] = []
         self._first_listed_at: Milliseconds | None = None
         self._horizon: Milliseconds | None = None
+        self._gap: HistoryGap | None = None
 
     @property
     def lag(self) -> Milliseconds:
@@ -104,7 +120,9 @@
     @property
     def horizon(self) -> Milliseconds | None:
         """Since when the history is complete; ``None`` before the first listing."""
-        return self._horizon
+        if self._gap is None or self._horizon is None:
+            return self._horizon
+        return max(self._horizon, self._gap.ended_at)
 
     @property
     def window(self) -> Milliseconds:
@@ -141,7 +159,7 @@
     ) -> bool:
         """Return whether the history reaches back for a window, the whole if none."""
         needed = self.window if window is None else window
-        return self._horizon is not None and self._horizon <= now - needed
+        return self.horizon is not None and self.horizon <= now - needed
 
     def has_just_started(self, now: Milliseconds) -> bool:
         """Return whether other VMs may not have seen yet all that this VM lists."""
@@ -151,7 +169,23 @@
         """Return after which time other VMs in touch have seen what this VM lists."""
         if self._first_listed_at is None:
             return self._lag
-        return Milliseconds(max(0, self._first_listed_at + self._lag - now))
+        settles_at = self._first_listed_at + self._lag
+        if self.is_behind(now):
+            settles_at = max(settles_at, now + GAP_CLOSING_TIME)
+        return Milliseconds(max(0, settles_at - now))
+
+    def is_behind(self, now: Milliseconds) -> bool:
+        """Return whether other VMs may begin streams at targets seen here just now."""
+        return self._gap is not None and now < self._gap.ended_at + self._lag
+
+    def record_gap(self, began_at: Milliseconds, now: Milliseconds) -> None:
+        """Record that this VM did not see all that changed from ``began_at`` to now.
+
+        What another VM saw meanwhile closes the gap.
+        """
+        if self._gap is not None:
+            began_at = min(began_at, self._gap.began_at)
+        self._gap = HistoryGap(began_at, now)
 
     def record(self, target: TargetRecord, now: Milliseconds) -> None:
         """Record a target's entry in the platform's list."""
@@ -196,9 +230,9 @@
 
     def age(self, now: Milliseconds) -> Milliseconds:
         """Return how far the history reaches back, at most for the whole window."""
-        if self._horizon is None:
+        if self.horizon is None:
             return Milliseconds(0)
-        return Milliseconds(min(max(0, now - self._horizon), self.window))
+        return Milliseconds(min(max(0, now - self.horizon), self.window))
 
     def rows(
         self, now: Milliseconds, max_rows: int = MAX_ROWS
@@ -231,11 +265,13 @@
         """
         reported = [_listing(row, now) for row in rows]
         horizon = Milliseconds(now - age)
-        if self._horizon is None or horizon >= self._horizon:
+        if self.horizon is None or horizon >= self.horizon:
             return
         for listing in reported:
             self._merge_listing(listing, now)
-        self._horizon = horizon
+        is_closed = self._gap is not None and horizon <= self._gap.began_at
+        self._horizon = min(horizon, self._horizon or horizon) if is_closed else horizon
+        self._gap = None
         self._forget_closed(now)
 
     def extend(
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -58,11 +58,14 @@
     """Return where a new stream with this key may begin.
 
     A VM that just started can't tell which targets other VMs have not seen yet. Unless
-    they all started, it begins no streams where there are several versions.
+    they all started, it begins no streams where there are several versions. Nor does
+    one that has just caught up with the others.
     """
     listings = history.listings(service, Milliseconds(now - history.lag))
     if len({listing.software for listing in listings}) <= 1:
         return ANY_VERSION
+    if history.is_behind(now):
+        return NO_VERSION
     if history.has_just_started(now):
         return NO_VERSION if history.is_complete(now) else ANY_VERSION
     seen_by_all = [
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -196,6 +196,11 @@
         """
         return self._era_began_at is not None and now - self._era_began_at < within
 
+    @property
+    def confirmed_at(self) -> Milliseconds | None:
+        """When the view was last confirmed, ``None`` if it never was."""
+        return self._confirmed_at
+
     def age(self, now: Milliseconds) -> Milliseconds | None:
         """Return the time since the view was confirmed, ``None`` if it never was."""
         if self._confirmed_at is None:
