Play pauses, repeated refusals and odd entries in the soak

The soak now has targets that ask each VM for a pause while they refuse all calls, targets that write a refusal once more, without a call's id, before their answers, and another writer whose entries can't be read. It checks that at most two calls of a VM reach a target in its pause; the promises on refusals, runs and settings in force were there.

--- a/src/yuccafold/soak/_promises.py
+++ b/src/yuccafold/soak/_promises.py
@@ -46,6 +46,11 @@
 MAX_CUT_OFF_FAILED_SHARE = 1 / 50
 """Calls that may fail there, beside a share of all calls, by the users' pages."""
 
+PAUSE_NOTICE = Milliseconds(500)
+MAX_REQUESTS_IN_PAUSE = 2
+"""Requests of one VM that may reach a target from ``PAUSE_NOTICE`` after it asked that
+VM for none until the end of that time, by the users' pages."""
+
 MAX_MIXED_STREAMS = 2
 """Streams that may hold events of two software versions, by the users' pages."""
 
@@ -80,6 +85,16 @@
     vm: str
 
 
+@final
+@dataclass(slots=True)
+class Pause:
+    """From when to when a target wants no requests of a VM, and how many came."""
+
+    asked_at: Milliseconds
+    ends_at: Milliseconds
+    requests: int = 0
+
+
 @final
 class PromiseChecker:
     """Records what callers and targets observe, and collects broken promises."""
@@ -114,6 +129,7 @@
         self._cuts: list[tuple[str, Milliseconds, Milliseconds]] = []
         self._leaving_runs: dict[str, str] = {}
         self._told_leaving: dict[tuple[str, str], Milliseconds] = {}
+        self._pauses: dict[tuple[str, str], Pause] = {}
         self._stream_versions: dict[str, str] = {}
         self._mixed_streams: list[str] = []
         self._ended: Counter[str] = Counter()
@@ -199,6 +215,32 @@
         for told in [told for told in self._told_leaving if told[0] == vm]:
             del self._told_leaving[told]
 
+    def record_request(
+        self, target: str, attempt: str, pause: Milliseconds | None
+    ) -> None:
+        """Record a request at a target, and for which ``pause`` it asks the VM, if any.
+
+        Health checks name no attempt, so they can't be counted by VM. VMs that were
+        disconnected since may have forgotten it.
+        """
+        sent, now = self._sent.get(attempt), self._clock.now()
+        if sent is None:
+            return
+        known = self._pauses.get((sent.vm, target))
+        if known is None or now >= known.ends_at:
+            if pause is not None:
+                asked = Pause(now, Milliseconds(now + pause))
+                self._pauses[sent.vm, target] = asked
+            return
+        known.requests += now > known.asked_at + PAUSE_NOTICE + CHECK_SLACK
+        was_disconnected = any(
+            end >= known.asked_at and begin <= now
+            for begin, end in self._disconnections.get(sent.vm, ())
+        )
+        if known.requests == MAX_REQUESTS_IN_PAUSE + 1 and not was_disconnected:
+            seen = f"{known.requests} requests of {sent.vm} in its pause"
+            self._add_violation("pauses are kept", target, seen)
+
     def record_stream_run(self, first_attempt: str, version: str, after: int) -> None:
         """Record that a target of ``version`` runs a stream from event ``after`` on.
 
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -6,6 +6,7 @@
 import signal
 from collections import Counter
 from collections import deque
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import AsyncExitStack
@@ -62,6 +63,9 @@
         FaultKind.STORE_OLDER,
         FaultKind.TARGET_SAYS_LEAVING,
         FaultKind.TARGET_SLOW,
+        FaultKind.TARGET_PAUSES,
+        FaultKind.TARGET_REPEATS,
+        FaultKind.ENTRY_ODD,
         FaultKind.ACCOUNT_HEAVY,
         FaultKind.VM_CUT_OFF,
     }
@@ -95,6 +99,16 @@
 RESTART_S = 0.4
 """How long after a crash a target's entry stays listed and another one starts."""
 
+MAX_PAUSE_S = 3.0
+ODD_NAME = "odd"
+ODD_PAUSE_S = 0.15
+ODD_ENTRIES = (
+    b'{"service": "desk", "slots": 1e400}',
+    b'{"service": "desk", "born": ' + b"9" * 400 + b"}",
+    b'{"service": "desk", "more": ' + b"[" * 100_000,
+    b'{"service": "desk", "address": "127.0.0.1:99999", "state": "ready"}',
+)
+
 LETHAL_DURATION_MULTIPLE = 4
 """How much longer than other faults a lethal part is in use, so that calls with it come
 long after VMs had time to tell each other."""
@@ -298,6 +312,7 @@
         )
         target = PlatformTarget(settings, self._record_run)
         target.slowdown = 1.0
+        target.on_received = partial(self._record_request, name, target)
         await self._nursery.start(self._serve_target, name, target)
         relay = Relay(target.server.address)
         await self._nursery.start(relay.serve)
@@ -336,6 +351,13 @@
         )
         self._store.list_target(name, entry)
 
+    def _record_request(
+        self, name: str, target: PlatformTarget, request: ServedRequest
+    ) -> None:
+        asks = target.mode is TargetMode.FULL and target.retry_after is not None
+        pause = seconds(float(target.retry_after or 0)) if asks else None
+        self._promises.record_request(name, attempt_of(request), pause)
+
     def _record_run(self, target: str, request: ServedRequest) -> None:
         attempt = attempt_of(request)
         self._promises.record_run(target, attempt, has_caller_key(request))
@@ -360,6 +382,9 @@
             nursery.start_soon(self._replace_by_answers)
             nursery.start_soon(self._slow_targets)
             nursery.start_soon(self._load_heavy_account)
+            nursery.start_soon(self._pause_targets)
+            nursery.start_soon(self._repeat_refusals)
+            nursery.start_soon(self._write_odd_entries)
             await self._inject_faults_at_random()
 
     async def _inject_faults_at_random(self) -> None:
@@ -462,6 +487,46 @@
             await trio.sleep(rng.uniform(0.3, 1.7) * self._settings.fault_duration_s)
             target.slowdown = 1.0
 
+    async def _pause_targets(self) -> None:
+        """Have one target after the other ask all VMs for a pause."""
+        async for rng, target in self._targets_in_turn(FaultKind.TARGET_PAUSES):
+            pause_s = rng.uniform(0.6, MAX_PAUSE_S)
+            target.retry_after = f"{pause_s:.3f}"
+            target.mode = TargetMode.FULL
+            await trio.sleep(rng.uniform(0.1, 1.0) * pause_s)
+            target.mode = TargetMode.HEALTHY
+            await trio.sleep(pause_s)
+            target.retry_after = None
+
+    async def _repeat_refusals(self) -> None:
+        """Have one target after the other repeat refusals, for a while each."""
+        async for rng, target in self._targets_in_turn(FaultKind.TARGET_REPEATS):
+            target.mode = TargetMode.REPEATING
+            await trio.sleep(rng.uniform(0.3, 1.7) * self._settings.fault_duration_s)
+            target.mode = TargetMode.HEALTHY
+
+    async def _targets_in_turn(
+        self, kind: FaultKind
+    ) -> AsyncIterator[tuple[random.Random, PlatformTarget]]:
+        rng = random.Random(f"{self._settings.seed} {kind.value}")
+        while True:
+            await trio.sleep(rng.uniform(0.5, 1.5) * self._settings.fault_duration_s)
+            if self._targets:
+                self._report.faults[kind] += 1
+                yield rng, self._targets[rng.choice(sorted(self._targets))][0]
+
+    async def _write_odd_entries(self) -> None:
+        """Have another writer leave entries that can't be read, for a while each."""
+        rng = random.Random(f"{self._settings.seed} odd")
+        while True:
+            await trio.sleep(rng.uniform(0.5, 1.5) * self._settings.fault_duration_s)
+            self._report.faults[FaultKind.ENTRY_ODD] += 1
+            value = rng.choice(ODD_ENTRIES)
+            with trio.move_on_after(self._settings.fault_duration_s):
+                while True:
+                    self._store.put(TARGET_KEY_PREFIX + ODD_NAME, value)
+                    await trio.sleep(ODD_PAUSE_S)
+
     async def _load_heavy_account(self) -> None:
         """Have further clients call with the key of one account, for a while each."""
         rng = random.Random(f"{self._settings.seed} heavy")
--- a/src/yuccafold/soak/_settings.py
+++ b/src/yuccafold/soak/_settings.py
@@ -29,6 +29,13 @@
     """Connections to a target are closed, new ones too for a while."""
     TARGET_FULL = "target-full"
     """A target refuses all calls, and marks them as not run."""
+    TARGET_PAUSES = "target-pauses"
+    """A target refuses all calls, and asks each VM for none for some time."""
+    TARGET_REPEATS = "target-repeats"
+    """A target writes a refusal that names no call before its answers."""
+    ENTRY_ODD = "entry-odd"
+    """Another writer leaves an entry among those of targets, again and again, that
+    can't be read."""
     TARGET_FAILING = "target-failing"
     """A target runs all calls and answers them with status 500."""
     TARGET_HANGING = "target-hanging"
--- a/src/yuccafold/standins/_http.py
+++ b/src/yuccafold/standins/_http.py
@@ -129,6 +129,11 @@
             return
         await self._wire.send(self._encode(h11.Data(data=data)))
 
+    async def send_stray(self, data: bytes) -> None:
+        """Write bytes that belong to no exchange, if one has ended before this one."""
+        if self._wire.has_answered:
+            await self._wire.send(data)
+
     async def finish(self) -> None:
         """Write the end of the response."""
         end = self._encode(h11.EndOfMessage())
--- a/src/yuccafold/standins/_platform_target.py
+++ b/src/yuccafold/standins/_platform_target.py
@@ -36,12 +36,20 @@
 LEAVING: Headers = (("Server-Leaving", "1"),)
 
 
+REPEATED_REFUSAL = (
+    b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 class TargetMode(Enum):
     """How a target responds to calls."""
 
     HEALTHY = "well"
     FULL = "full"
     """Refuses calls, which are marked as not run."""
+    REPEATING = "repeating"
+    """Runs calls, and writes a refusal that names none before its answers, on
+    connections that had an answer before."""
     FAILING = "failing"
     """Runs calls and answers 500."""
     UNSIGNED = "unsigned"
@@ -116,6 +124,8 @@
         self._lethal_runs: list[str] = []
         self.limit: float | None = None
         """The requests a second that answers name as the limit of all VMs together."""
+        self.on_received: Callable[[ServedRequest], None] = lambda _: None
+        """Called with each request that arrives, health checks as well."""
         self.leaving = False
         """Whether all answers say that the target is about to stop."""
         self.retry_after: str | None = None
@@ -185,6 +195,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         self._received.append(request)
+        self.on_received(request)
         attempt = attempt_of(request)
         expected = request.header("x-expect-instance")
         if expected not in (None, self.id):
@@ -265,6 +276,8 @@
             await self._crash(exchange)
         if self.mode is TargetMode.HANGING:
             await trio.sleep_forever()
+        if self.mode is TargetMode.REPEATING:
+            await exchange.send_stray(REPEATED_REFUSAL)
         if self.mode is TargetMode.FAILING:
             await exchange.respond(500, b"failed", headers)
         elif exchange.request.path.startswith("/chat/"):
--- a/src/yuccafold/standins/_wire.py
+++ b/src/yuccafold/standins/_wire.py
@@ -54,6 +54,12 @@
         self._received = 0
         self._sent = 0
         self._withheld = b""
+        self._has_answered = False
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether an earlier exchange of the connection has ended."""
+        return self._has_answered
 
     @property
     def faults(self) -> Faults:
@@ -67,6 +73,7 @@
 
     def end_exchange(self) -> None:
         """Reset faults and byte counts for the next exchange."""
+        self._has_answered = True
         self._faults = None
         self._received = 0
         self._sent = 0
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -291,3 +291,37 @@
         clock.advance(Milliseconds(10))
     checker.check_cut_off_vms()
     assert broken_promises(checker) == []
+
+
+def paused_checker(requests):
+    """Return a checker whose ``vm-0`` sends requests into a pause of ``t1``."""
+    checker, clock = promise_checker()
+    checker.record_sent("p1", "key-1", repeatable=True, vm="vm-0")
+    checker.record_request("t1", "p1", Milliseconds(3_000))
+    checker.record_request("t1", "p1", Milliseconds(3_000))
+    clock.advance(Milliseconds(1_000))
+    for _ in range(requests):
+        checker.record_request("t1", "p1", None)
+    return checker, clock
+
+
+def test_requests_of_a_vm_in_a_pause_are_detected():
+    assert broken_promises(paused_checker(2)[0]) == []
+    assert broken_promises(paused_checker(3)[0]) == ["pauses are kept"]
+
+
+def test_requests_of_other_vms_and_after_a_pause_are_allowed():
+    checker, clock = paused_checker(2)
+    checker.record_sent("p2", "key-1", repeatable=True, vm="vm-1")
+    checker.record_request("t1", "p2", None)
+    checker.record_request("t1", "", None)
+    clock.advance(Milliseconds(2_000))
+    checker.record_request("t1", "p1", None)
+    assert broken_promises(checker) == []
+
+
+def test_vm_that_was_disconnected_since_may_have_forgotten_a_pause():
+    checker, _ = paused_checker(2)
+    checker.record_disconnection("vm-0", Milliseconds(100))
+    checker.record_request("t1", "p1", None)
+    assert broken_promises(checker) == []
