Take the earliest time at which any VM saw a target join when a gap is closed

Traced: the history of another VM closed the gap, but the late VM kept the time at which it had seen the new target itself, and so began streams at the old version for the lag. A merged listing moves that time back now; all VMs in touch have seen the target within the lag of it.

--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -332,7 +332,7 @@
         own = self._open.get(reported.target)
         if reported.until is None:
             if own is not None and own.software == reported.software:
-                if own.since is None:
+                if own.since is None or own.since > (reported.since or own.since):
                     own.since = reported.since
                 return
             # It left before this VM's first list, or is not listed here yet.
--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -243,3 +243,50 @@
     assert {V1} in found(fresh, now)
     assert {V2} in found(fresh, now)
     assert {V1, V2} in found(fresh, now)
+
+
+def behind_at(now):
+    """Return histories of a VM that saw all, and of one that has just caught up."""
+    old, late = history_of(V1, 0), history_of(V1, 0)
+    old.record(target("n9", software=V2), at(now - 10_000))
+    late.record(target("n9", software=V2), at(now))
+    late.record_gap(at(now - 12_000), at(now))
+    return old, late
+
+
+def test_vm_that_was_out_of_step_finds_no_version_and_begins_no_stream():
+    _, late = behind_at(60_000)
+    assert found(late, 60_100) == [None] * 20
+    assert not choose_version(late, DESK, PartId("p1"), at(60_100)).may_begin
+    assert late.settles_in(at(60_100)) > 0
+
+
+def test_vm_that_kept_in_step_closes_the_gap_of_another():
+    old, late = behind_at(60_000)
+    exchange_once(late, old, 60_100)
+    assert not late.is_behind(at(60_100))
+    assert found(late, 60_100) == found(old, 60_100)
+    for number in range(20):
+        key = PartId(f"p{number}")
+        expected = choose_version(old, DESK, key, at(60_100))
+        assert choose_version(late, DESK, key, at(60_100)) == expected
+
+
+def test_vm_with_a_gap_of_its_own_closes_none():
+    _, late = behind_at(60_000)
+    _, other = behind_at(60_000)
+    exchange_once(late, other, 60_100)
+    assert late.is_behind(at(60_100))
+
+
+def test_gap_that_nobody_closes_ends_after_the_window():
+    _, late = behind_at(60_000)
+    assert not late.is_behind(at(60_000 + late.lag))
+    assert None not in found(late, 60_000 + late.window)
+
+
+def test_history_that_does_not_reach_back_to_a_gap_makes_itself_the_horizon():
+    old, late = behind_at(60_000)
+    old._horizon = at(52_000)
+    exchange_once(late, old, 60_100)
+    assert late.horizon == 52_000
