Bound the figures of messages between VMs

An older or faulty build could send a figure of more than 300 digits, which whoever divided by it later failed on, in the middle of placing calls. Same class as numbers of entries: read without a bound where it comes in.

--- a/src/yuccafold/_parsing.py
+++ b/src/yuccafold/_parsing.py
@@ -44,6 +44,13 @@
     return bounded(float(text))
 
 
+def parse_whole(text: str) -> int:
+    """Parse a whole number; raises ``ValueError`` if it is out of range."""
+    number = int(text)
+    bounded(number)
+    return number
+
+
 def bounded(value: float) -> float:
     """Return a number; raises ``ValueError`` if it is out of range or no number."""
     if not -MAX_NUMBER <= value <= MAX_NUMBER:
--- a/src/yuccafold/edge/_leaving.py
+++ b/src/yuccafold/edge/_leaving.py
@@ -15,6 +15,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
+from yuccafold._parsing import parse_whole
 from yuccafold.edge._model import TargetRecord
 
 TELL_TIME = Milliseconds(5_000)
@@ -156,6 +157,8 @@
     """Parse the form of ``format_leaving``; raises ``ValueError`` if malformed."""
     rows = (part.rsplit(":", 2) for part in text.split(",") if part)
     return {
-        TargetId(target): LeavingNotice(int(born), Milliseconds(now - int(age)))
+        TargetId(target): LeavingNotice(
+            parse_whole(born), Milliseconds(now - parse_whole(age))
+        )
         for target, born, age in rows
     }
--- a/src/yuccafold/edge/_outcomes.py
+++ b/src/yuccafold/edge/_outcomes.py
@@ -16,6 +16,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
+from yuccafold._parsing import parse_whole
 
 OUTCOME_HALF_LIFE = Milliseconds(1_000)
 """Half-life of the weight of outcomes: short, so that a target that has recovered gets
@@ -201,7 +202,9 @@
     """Parse the form of ``format_outcomes``; raises ``ValueError`` if malformed."""
     rows = (part.rsplit(":", 2) for part in text.split(",") if part)
     return {
-        TargetId(target): OutcomeCounts(int(good) / 10, int(failed) / 10)
+        TargetId(target): OutcomeCounts(
+            parse_whole(good) / 10, parse_whole(failed) / 10
+        )
         for target, good, failed in rows
     }
 
--- a/src/yuccafold/edge/_stream_versions.py
+++ b/src/yuccafold/edge/_stream_versions.py
@@ -16,6 +16,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
 from yuccafold._ids import ServiceId
+from yuccafold._parsing import parse_whole
 from yuccafold.edge._model import PartId
 from yuccafold.edge._model import SoftwareVersion
 
@@ -156,7 +157,7 @@
         for version, texts in dict(rows).items():
             for text in texts:
                 key, _, age = str(text).partition(":")
-                at = Milliseconds(now - int(age))
+                at = Milliseconds(now - parse_whole(age))
                 self._report(StreamKey(key), SoftwareVersion(version), at, reported_by)
 
     def _report_moved(self, now: Milliseconds) -> None:
--- a/src/yuccafold/edge/_suspects.py
+++ b/src/yuccafold/edge/_suspects.py
@@ -19,6 +19,7 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
+from yuccafold._parsing import parse_whole
 from yuccafold.edge._call import Call
 from yuccafold.edge._model import PartId
 
@@ -272,4 +273,4 @@
 def _count(text: str) -> int:
     if not text.isascii() or not text.isdigit():
         raise ValueError(f"expected a whole number, got {text!r:.40}")
-    return int(text)
+    return parse_whole(text)
--- a/src/yuccafold/edge/_target_limits.py
+++ b/src/yuccafold/edge/_target_limits.py
@@ -22,6 +22,7 @@
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
+from yuccafold._parsing import parse_whole
 from yuccafold.edge.reports import newest
 
 LIMIT_SHARE = 0.8
@@ -324,7 +325,8 @@
     rows = (part.rsplit(":", 2) for part in text.split(",") if part)
     return {
         TargetId(target): LimitNotice(
-            None if limit == "-" else _parse_limit(limit), Milliseconds(now - int(age))
+            None if limit == "-" else _parse_limit(limit),
+            Milliseconds(now - parse_whole(age)),
         )
         for target, limit, age in rows
     }
@@ -345,7 +347,9 @@
     """Parse the form of ``format_demand``; raises ``ValueError`` if malformed."""
     rows = (part.rsplit(":", 2) for part in text.split(",") if part)
     return {
-        (TargetId(target), int(level[:-1]), Calls(level[-1:])): int(rate) / 100
+        (TargetId(target), parse_whole(level[:-1]), Calls(level[-1:])): (
+            parse_whole(rate) / 100
+        )
         for target, level, rate in rows
     }
 
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -18,6 +18,7 @@
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold._log import log_event
+from yuccafold._parsing import parse_whole
 from yuccafold.edge._helpers import HelperServices
 from yuccafold.edge._helpers import HelperTable
 from yuccafold.edge._helpers import format_helpers
@@ -103,7 +104,7 @@
     def parse(self, text: str, now: Milliseconds) -> RunningCalls:
         """Parse the form of ``format``."""
         pairs = (part.rpartition(":") for part in text.split(",") if part)
-        return {TargetId(target): int(calls) for target, _, calls in pairs}
+        return {TargetId(target): parse_whole(calls) for target, _, calls in pairs}
 
     def record(self, total: VmReport, local_part: VmReport, now: Milliseconds) -> None:
         """Record the calls of other VMs, and how many VMs there are."""
