--- a/testing/edge/test_earlier_build.py
+++ b/testing/edge/test_earlier_build.py
@@ -1,4 +1,4 @@
-"""Exchanges messages with the build that runs in production (f6da30b), as recorded.
+"""Exchanges messages with an earlier build (f6da30b), as recorded.
 
 Guards against changes of messages by which VMs of two builds don't understand each
 other while they are replaced one after the other.
