Play targets that say they leave in unsigned answers and to health checks

On the code before, both routes with unsigned answers failed: a call reached the target after it, and one got 502 where another target would have served it.

--- a/testing/edge/test_leaving_targets.py
+++ b/testing/edge/test_leaving_targets.py
@@ -85,6 +85,19 @@
         assert not fleet.arrivals["t1"]
 
 
+@on_trio
+async def test_answer_to_a_health_check_counts_too():
+    leaving = target("t1")
+    async with running_edge(leaving) as edge:
+        leaving.leaving = True
+        probe, targets = edge.router._reach_probe, edge.router._targets
+        (record,) = targets.ready("desk", probe._clock.now())
+        await probe._try_target(record)
+        assert targets.leaving_age(record, probe._clock.now()) is not None
+        assert (await edge.call("POST", "/look/"))[0] == 503
+        assert not leaving.runs
+
+
 async def call_until_leaving(edge, leaving, path="/look/"):
     """Make calls until ``leaving`` has answered one; drop the records of its calls."""
     leaving.leaving = True
@@ -100,6 +113,8 @@
         ("/look/", TargetMode.HEALTHY),
         ("/look/", TargetMode.FAILING),
         ("/look/", TargetMode.FULL),
+        ("/look/", TargetMode.UNSIGNED),
+        ("/book/", TargetMode.UNSIGNED),
         ("/book/", TargetMode.HEALTHY),
         ("/chat/", TargetMode.HEALTHY),
         ("/chat/", TargetMode.BREAKING),
