--- a/src/yuccafold/soak/_promises.py
+++ b/src/yuccafold/soak/_promises.py
@@ -214,6 +214,8 @@
         """Record that a VM restarts or is paused, so it may forget what it was told."""
         for told in [told for told in self._told_leaving if told[0] == vm]:
             del self._told_leaving[told]
+        for asked in [asked for asked in self._pauses if asked[0] == vm]:
+            del self._pauses[asked]
 
     def record_request(
         self, target: str, attempt: str, pause: Milliseconds | None
@@ -238,7 +240,10 @@
             for begin, end in self._disconnections.get(sent.vm, ())
         )
         if known.requests == MAX_REQUESTS_IN_PAUSE + 1 and not was_disconnected:
-            seen = f"{known.requests} requests of {sent.vm} in its pause"
+            seen = (
+                f"{known.requests} requests of {sent.vm} by {now} in its pause from "
+                f"{known.asked_at} to {known.ends_at}"
+            )
             self._add_violation("pauses are kept", target, seen)
 
     def record_stream_run(self, first_attempt: str, version: str, after: int) -> None:
--- a/src/yuccafold/soak/_run.py
+++ b/src/yuccafold/soak/_run.py
@@ -658,6 +658,8 @@
                     )
                 vm.start()
         finally:
+            # A stop may take longer than the fault that began with it.
+            self._promises.record_restart(vm.name)
             self._vms_under_fault.discard(vm.name)
 
     async def _check_recovery(self) -> None:
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -320,6 +320,13 @@
     assert broken_promises(checker) == []
 
 
+def test_vm_that_restarted_since_may_have_forgotten_a_pause():
+    checker, _ = paused_checker(2)
+    checker.record_restart("vm-0")
+    checker.record_request("t1", "p1", None)
+    assert broken_promises(checker) == []
+
+
 def test_vm_that_was_disconnected_since_may_have_forgotten_a_pause():
     checker, _ = paused_checker(2)
     checker.record_disconnection("vm-0", Milliseconds(100))
