--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -442,11 +442,19 @@
 # ------------------------------------------------------------------------------ VMs
 
 
+RESERVATIONS: list[socket.socket] = []
+
+
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a free port that no other socket gets as a free one.
+
+    The router can listen there all the same, as both allow to reuse the address.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, 0))
+    RESERVATIONS.append(reservation)
+    return reservation.getsockname()[1]
 
 
 class Vm:
@@ -457,10 +465,9 @@
         self.folder = folder
         self.name = name
         self.store = store
-        ports: set[int] = set()
-        while len(ports) < 4:
-            ports.add(free_port())
-        self.front, self.readiness, self.control, self.metrics = ports
+        self.front, self.readiness, self.control, self.metrics = (
+            free_port() for _ in range(4)
+        )
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -752,6 +759,8 @@
                 if time.monotonic() > until or not vm.is_running:
                     raise CannotRunError(f"{vm.name} is not ready")
                 await asyncio.sleep(0.1)
+            if not vm.is_running:
+                raise CannotRunError(f"{vm.name} has ended")
 
     def close(self) -> None:
         for vm in self.vms:
@@ -761,6 +770,8 @@
 def run_case(folder: Path, main: Any) -> None:
     """Run ``main(record, fleet)``, which returns whether the rule held; exit by it."""
     record = Record(folder / "record.txt")
+    # So that the routers are ended, too, if the case is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     logs = os.environ.get("LOGS")
     with tempfile.TemporaryDirectory() as temporary:
         fleet = Fleet(record, Path(logs or temporary))
