--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import resource
 import shlex
 import signal
 import socket
@@ -770,6 +771,8 @@
 def run_case(folder: Path, main: Any) -> None:
     """Run ``main(record, fleet)``, which returns whether the rule held; exit by it."""
     record = Record(folder / "record.txt")
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     # So that the routers are ended, too, if the case is.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     logs = os.environ.get("LOGS")
