--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 import uuid
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from rig import TROUBLE
 from rig import CannotRunError
--- a/review/lib/rig.py
+++ b/review/rig.py
@@ -26,7 +26,7 @@
 from typing import Any
 
 HOST = "127.0.0.1"
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 ROUTE_HOST = "ficu95.example"
 
 BOUNDS = {
