Keep changes of one position in one answer between VMs

Cause: a removal that a seed infers from a list has the position of the list, which the last change before it has, too. An answer that ended at 16 KiB between the two stated that position as reached, and the requester never asked for the rest.

Ruled out: the watch (seeds applied the configuration), the delta (the whole value is lost alike), the age of views (they were fresh).

Changes of one position now stay together, and inferred removals come before all other changes, so that a state that was reached halfway is right at whichever seed the VM asks next. A VM that infers removals itself records the gap, as one that lists does.

test_other_vms_are_sent_only_what_differs_in_a_later_era expected an order of changes: it expects the new one as exactly.

--- a/src/yuccafold/edge/_entries.py
+++ b/src/yuccafold/edge/_entries.py
@@ -45,6 +45,13 @@
         """Return whether removals after ``position`` may be unknown."""
         return self.after < position < self.until
 
+    def may_have_inferred(self, entry: Entry) -> bool:
+        """Return whether ``entry`` may be a removal that was inferred from a list.
+
+        It happened at any time within the gap, and bears the position of its end.
+        """
+        return entry.value is None and self.after < entry.position <= self.until
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -97,10 +104,19 @@
         self._in_force = settings
 
     def apply_changes(
-        self, entries: Iterable[Entry], position: Position
+        self,
+        entries: Iterable[Entry],
+        position: Position,
+        lacks_removals: bool = False,
     ) -> list[Entry]:
-        """Apply changes up to ``position``; return those that are new."""
+        """Apply changes up to ``position``; return those that are new.
+
+        ``lacks_removals`` is set if removals among them were inferred from the keys
+        that are present, so that others may be missing.
+        """
         current = [entry for entry in entries if era_of(entry.position) >= self.era]
+        if lacks_removals and position > self._position:
+            self._record_gap(Gap(self._position, position))
         return self._apply(current, position)
 
     def apply_list(self, entries: Collection[Entry], position: Position) -> list[Entry]:
@@ -143,7 +159,7 @@
         return known[-1] if known and known[-1].value is not None else None
 
     def changes_since(self, after: Position) -> list[Entry] | None:
-        """Return the changes after ``after``.
+        """Return the changes after ``after`` in their order, as of ``sequence``.
 
         Returns ``None`` if some of them are forgotten, or if ``after`` is a state of an
         earlier era that this table has not had.
@@ -151,7 +167,17 @@
         if after < self._forgotten or not self._has_had(after):
             return None
         changed = (entry for entry in self._entries.values() if entry.position > after)
-        return sorted(changed, key=lambda entry: entry.position)
+        return sorted(changed, key=self.sequence)
+
+    def sequence(self, entry: Entry) -> Position:
+        """Return where a change stands among others: its position if that is known.
+
+        An inferred removal comes before all other changes: a VM that has only a part
+        of them must not keep the key, as others can't tell that it does.
+        """
+        if any(gap.may_have_inferred(entry) for gap in self._gaps):
+            return START
+        return entry.position
 
     def present(self) -> list[Entry]:
         """Return the entries that were not removed."""
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -10,8 +10,8 @@
 import base64
 import json
 import zlib
-from collections.abc import Iterator
 from collections.abc import Sequence
+from itertools import groupby
 from typing import Any
 from typing import final
 from urllib.parse import parse_qs
@@ -200,7 +200,8 @@
             is_earlier = era < self._table.era
             rows = () if is_earlier else answer["entries"]
             entries = [self._entry(row, era) for row in rows]
-            if PRESENT_FIELD in answer and not is_earlier:
+            lacks_removals = PRESENT_FIELD in answer and not is_earlier
+            if lacks_removals:
                 entries += self._table.absent(answer[PRESENT_FIELD], position)
             changes = PlatformChanges(
                 tuple(entries),
@@ -210,6 +211,7 @@
                 not answer.get("more", False),
                 self._settings(answer),
                 _keys_age_of(answer),
+                lacks_removals,
             )
             self._record_start(answer)
             if "loads" in answer:
@@ -284,9 +286,10 @@
 class ViewPage:
     """Answers requests of other VMs for the entries and reports of this VM.
 
-    An answer holds changes in the order of their revisions up to a size; the rest
-    follows when the requester asks again at the position of the answer. So a long
-    configuration does not delay the change by which a target leaves.
+    An answer holds changes in the order of their positions up to a size, after the
+    removals whose position is not known; the rest follows when the requester asks
+    again at the position of the answer. So a long configuration does not delay the
+    change by which a target leaves.
     """
 
     def __init__(
@@ -341,9 +344,8 @@
         if changed is None:
             rows = [self._row(entry, START) for entry in self._table.present()]
         else:
-            rows = list(self._limited_rows(changed, position))
-            if len(rows) < len(changed):
-                reached = changed[len(rows) - 1].position
+            rows, reached = self._limited_rows(changed, position)
+            if reached is not None:
                 value |= {"position": revision_of(reached), ERA_FIELD: era_of(reached)}
                 value["more"] = True
             if lacks_removals:
@@ -398,16 +400,26 @@
             self._fleet_reports.record_vm_report(query["vm"], report, now)
 
     def _limited_rows(
-        self, entries: Sequence[Entry], position: Position
-    ) -> Iterator[dict[str, Any]]:
-        """Yield rows until the answer has its maximum size; at least one."""
+        self, changes: Sequence[Entry], position: Position
+    ) -> tuple[list[dict[str, Any]], Position | None]:
+        """Return rows up to the maximum size, and the position that they reach.
+
+        That is ``None`` if they are all. The changes of one position are kept
+        together: the requester asks for changes after it next.
+        """
+        rows: list[dict[str, Any]] = []
+        reached: Position | None = None
         size = 0
-        for entry in entries:
-            row = self._row(entry, position)
-            size += len(row.get("value") or row.get("delta") or "")
-            if size > MAX_ANSWER_BYTES and entry is not entries[0]:
-                return
-            yield row
+        for place, together in groupby(changes, key=self._table.sequence):
+            added = [self._row(entry, position) for entry in together]
+            size += sum(
+                len(row.get("value") or row.get("delta") or "") for row in added
+            )
+            if size > MAX_ANSWER_BYTES and reached is not None:
+                return rows, reached
+            rows += added
+            reached = place if place != START else reached
+        return rows, None
 
     def _row(self, entry: Entry, position: Position) -> dict[str, Any]:
         """Return the row of an entry for a VM that has all changes up to ``position``.
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -67,6 +67,7 @@
     ``is_last`` is false if there are more changes after ``position`` already.
     ``settings`` are what another VM has in force, if they are newer than this VM's
     and possibly lost by the store. ``keys_age`` is as in ``PlatformState``.
+    ``lacks_removals`` is set if removals of keys that this VM never had may be missing.
     """
 
     entries: tuple[Entry, ...]
@@ -76,6 +77,7 @@
     is_last: bool = True
     settings: Entry | None = None
     keys_age: Milliseconds | None = None
+    lacks_removals: bool = False
 
 
 class PlatformSource(Protocol):
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -395,7 +395,9 @@
         self._enter_era(source, changes.position)
         if changes.in_outage:
             self._view.record_shared_outage(self._clock.now())
-        new = self._table.apply_changes(changes.entries, changes.position)
+        new = self._table.apply_changes(
+            changes.entries, changes.position, changes.lacks_removals
+        )
         self._apply_entries(new, changes.is_last)
         return replace(changes, entries=tuple(new))
 
--- a/testing/edge/test_entries.py
+++ b/testing/edge/test_entries.py
@@ -126,7 +126,16 @@
 
 def test_other_vms_are_sent_only_what_differs_in_a_later_era():
     table, changed = table_in_later_era()
-    assert table.changes_since(position_of(1, 9)) == changed
+    different, missing = changed
+    assert table.changes_since(position_of(1, 9)) == [missing, different]
+
+
+def test_removal_that_was_inferred_comes_before_the_changes_of_its_gap():
+    table = EntryTable()
+    table.apply_changes([put("a", 1), put("b", 2)], 2)
+    table.apply_list([put("b", 5)], 9)
+    table.apply_changes([put("c", 10), removed("b", 11)], 11)
+    assert table.changes_since(2) == [removed("a", 9), put("c", 10), removed("b", 11)]
 
 
 def test_state_of_an_earlier_era_that_was_not_read_is_unknown():
