Notice that the store discarded its history before all VMs restarted

Cause: VMs that all restarted read the changes that the store remembers, and took their history of targets for complete over the whole of history_s, also where the store had discarded it sooner. The version of the new targets was the only one known.

Evidence: the log of each take-up had known_by=evident and history_ms=20036, half a second after the start. Ruled out: reports of other VMs (all had restarted), the choice of versions by prompts (one version was known).

The adapter now says after which position the remembered changes are complete. A change that is forgotten is older than history_s, unless the history was discarded. So a target that started since then or that drains, and whose last change is forgotten, shows that nothing is known of the past: such streams are refused as not run.

test_stream_is_not_joined_though_the_store_forgot_which_targets_left: before, 2 of 4 failed ((200, ['t2']) instead of a refusal), those in which the store forgot.

--- a/src/yuccafold/_clock.py
+++ b/src/yuccafold/_clock.py
@@ -36,6 +36,15 @@
         return Milliseconds(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
 
 
+@final
+class UnixClock:
+    """The time of day, for comparison with times that others state; it may jump."""
+
+    def now(self) -> Milliseconds:
+        """Return milliseconds since the Unix epoch."""
+        return Milliseconds(time.time_ns() // NS_PER_MS)
+
+
 @final
 class ManualClock:
     """A clock that moves only through ``advance``; for tests and seeded runs."""
--- a/src/yuccafold/edge/__init__.py
+++ b/src/yuccafold/edge/__init__.py
@@ -37,6 +37,7 @@
 from yuccafold.edge._platform_source import PlatformSource
 from yuccafold.edge._platform_source import PlatformState
 from yuccafold.edge._platform_source import PlatformUnavailableError
+from yuccafold.edge._platform_source import RememberedChanges
 from yuccafold.edge._positions import MAX_REVISION
 from yuccafold.edge._positions import NO_ERA
 from yuccafold.edge._positions import Position
@@ -71,6 +72,7 @@
     "PlatformUnavailableError",
     "Position",
     "PromptPart",
+    "RememberedChanges",
     "Repeatability",
     "Route",
     "RouteName",
--- a/src/yuccafold/edge/_entries.py
+++ b/src/yuccafold/edge/_entries.py
@@ -183,6 +183,10 @@
         """Return the entries that were not removed."""
         return [entry for entry in self._entries.values() if entry.value is not None]
 
+    def present_at(self, position: Position) -> list[Entry]:
+        """Return the present entries that have not changed since ``position``."""
+        return [entry for entry in self.present() if entry.position <= position]
+
     def _apply(self, entries: Iterable[Entry], position: Position) -> list[Entry]:
         new = [entry for entry in entries if self._is_new(entry)]
         if era_of(position) > self.era:
--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -105,10 +105,19 @@
         ...
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class RememberedChanges:
+    """The changes of targets that the store remembers: all those after ``after``."""
+
+    entries: tuple[Entry, ...]
+    after: Position
+
+
 class RememberingSource(PlatformSource, Protocol):
     """The store, which remembers changes for some time."""
 
-    async def remembered_changes(self, until: Position) -> tuple[Entry, ...]:
+    async def remembered_changes(self, until: Position) -> RememberedChanges:
         """Return the changes of targets up to ``until`` that it still remembers."""
         ...
 
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -12,6 +12,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
+from yuccafold._clock import UnixClock
 from yuccafold._ids import ZoneId
 from yuccafold._log import log_event
 from yuccafold.edge._attempts import with_jitter
@@ -37,6 +38,7 @@
 from yuccafold.edge._positions import revision_of
 from yuccafold.edge._settings import EdgeSettings
 from yuccafold.edge._source_choice import SourceChoice
+from yuccafold.edge._target_history import known_reach
 from yuccafold.edge._targets import Targets
 from yuccafold.edge._view import PlatformView
 from yuccafold.edge.reports import REPORT_LIFETIME
@@ -125,8 +127,10 @@
         view: PlatformView,
         targets: Targets,
         metrics: EdgeMetrics,
+        unix_clock: Clock = UnixClock(),
     ) -> None:
         self._clock = clock
+        self._unix_clock = unix_clock
         self._rng = rng
         self._store = store
         self._max_peer_view_age = Milliseconds(
@@ -276,22 +280,37 @@
         One of the seeds does, and the other VMs learn it from seeds.
         """
         now = self._clock.now()
-        history, reach = self._view.history, self._settings.store_history
-        if not self._follows_store or not reach or history.is_complete(now):
+        history, kept_for = self._view.history, self._settings.store_history
+        if not self._follows_store or not kept_for or history.is_complete(now):
             self._has_read_past = True
             return
         try:
-            entries = await self._store.remembered_changes(self._table.position)
+            past = await self._store.remembered_changes(self._table.position)
         except PlatformUnavailableError as error:
             log_event("past_not_read", detail=str(error))
             return
-        facts = [self._decode(entry) for entry in entries]
-        changes = [
-            fact for fact in facts if isinstance(fact, TargetRecord | TargetGone)
+        changes = self._target_facts(past.entries)
+        forgotten = [
+            fact
+            for fact in self._target_facts(self._table.present_at(past.after))
+            if isinstance(fact, TargetRecord)
         ]
+        reach = known_reach(forgotten, kept_for, self._unix_clock.now())
         history.extend(changes, reach, now)
         self._has_read_past = True
-        log_event("past_read", changes=len(changes), reach_ms=reach)
+        log_event(
+            "past_read",
+            changes=len(changes),
+            after=revision_of(past.after),
+            forgotten=len(forgotten),
+            reach_ms=reach,
+        )
+
+    def _target_facts(
+        self, entries: Iterable[Entry]
+    ) -> list[TargetRecord | TargetGone]:
+        facts = [self._decode(entry) for entry in entries]
+        return [fact for fact in facts if isinstance(fact, TargetRecord | TargetGone)]
 
     async def _ask_peer(self, peer: PlatformSource) -> None:
         """Ask another VM, which may have no view either if all VMs start."""
--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -44,6 +44,9 @@
 SAME_LISTING_TOLERANCE = Milliseconds(2_000)
 """Two VMs see a target leave at most this far apart."""
 
+CLOCK_TOLERANCE = Milliseconds(1_000)
+"""How far the clocks of targets and VMs usually differ."""
+
 GAP_CLOSING_TIME = Milliseconds(500)
 """Within this time another VM usually tells what changed in a gap."""
 
@@ -280,10 +283,11 @@
         reach: Milliseconds,
         now: Milliseconds,
     ) -> None:
-        """Add the changes that the platform remembers of the last ``reach``, in order.
+        """Add the changes that the platform remembers, in order.
 
-        Changes bear no time. So a target that left counts as listed until now, and one
-        that changed as listed since now.
+        They are all of the last ``reach``; with 0, others may be missing. Changes bear
+        no time. So a target that left counts as listed until now, and one that changed
+        as listed since now.
         """
         if self._horizon is None:
             return
@@ -300,7 +304,8 @@
                 left[change.id] = change
         for target, record in left.items():
             self._add_departure(target, record, now)
-        self._horizon = Milliseconds(min(self._horizon, now - reach))
+        if reach:
+            self._horizon = Milliseconds(min(self._horizon, now - reach))
 
     def departed_rows(self, now: Milliseconds) -> list[list[str | int]]:
         """Return ``[id, service, software, age]`` of each target that has left."""
@@ -363,6 +368,23 @@
         }
 
 
+def known_reach(
+    forgotten: Iterable[TargetRecord], history: Milliseconds, unix_now: Milliseconds
+) -> Milliseconds:
+    """Return how far back the platform is known to remember changes; 0 if it isn't.
+
+    It keeps changes for the time ``history``, but may discard them sooner. Then it has
+    ``forgotten`` changes of targets that are younger: those of targets that started
+    since then or that drain.
+    """
+    is_discarded = any(
+        record.state is not TargetState.READY
+        or unix_now - record.born_ms < history + CLOCK_TOLERANCE
+        for record in forgotten
+    )
+    return Milliseconds(0) if is_discarded else history
+
+
 def _last_change(listing: Listing) -> Milliseconds | None:
     return listing.since if listing.until is None else listing.until
 
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -22,6 +22,7 @@
 from yuccafold.edge import PlatformState
 from yuccafold.edge import PlatformUnavailableError
 from yuccafold.edge import Position
+from yuccafold.edge import RememberedChanges
 from yuccafold.edge import SocketAddress
 from yuccafold.edge import StoreEra
 from yuccafold.edge import TargetGone
@@ -132,7 +133,7 @@
         entries = tuple(_entry(item, era) for item in _items(answer, "events"))
         return PlatformChanges(entries, max(after, position))
 
-    async def remembered_changes(self, until: Position) -> tuple[Entry, ...]:
+    async def remembered_changes(self, until: Position) -> RememberedChanges:
         """Return the changes of targets up to ``until`` that it still remembers.
 
         How far back that is can't be asked, so it is found by a search.
@@ -153,7 +154,7 @@
                 continue
             known = after
             entries = tuple(_entry(item, era) for item in _items(answer, "events"))
-        return entries
+        return RememberedChanges(entries, position_of(era_of(until), known))
 
     async def close(self) -> None:
         """Close the connections to the store."""
--- a/testing/edge/edge_fleet.py
+++ b/testing/edge/edge_fleet.py
@@ -101,7 +101,8 @@
     target.
     """
 
-    def __init__(self, vm_count, target_settings, restart_s=RESTART_S):
+    def __init__(self, vm_count, target_settings, restart_s=RESTART_S, store_history=0):
+        self._store_history = Milliseconds(store_history)
         self._target_settings = target_settings
         self._restart_s = restart_s
         self._attempts = count(1)
@@ -136,6 +137,7 @@
                 evacuate_within=Milliseconds(5_000),
                 cold_multiple=1.5,
                 cold_slack=5.0,
+                store_history=self._store_history,
             )
             vm = FleetVm(self, number, settings)
             self.vms.append(vm)
@@ -230,8 +232,10 @@
 
 
 @asynccontextmanager
-async def running_fleet(vm_count, *target_settings, restart_s=RESTART_S):
-    fleet = EdgeFleet(vm_count, target_settings, restart_s)
+async def running_fleet(
+    vm_count, *target_settings, restart_s=RESTART_S, store_history=0
+):
+    fleet = EdgeFleet(vm_count, target_settings, restart_s, store_history)
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
--- a/testing/edge/test_fleet_restarts.py
+++ b/testing/edge/test_fleet_restarts.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 import trio
 
+from edge.builders import wire_target
 from edge.edge_fleet import running_fleet
 from edge.test_streams_of_two_versions import FOUR_OF_TWO
 from edge.test_streams_of_two_versions import break_off
@@ -59,3 +62,50 @@
                     assert (status, places) in [(200, [began_at]), (503, [])]
 
     run()
+
+
+HISTORY_MS = 20_000
+
+
+def unix_ms():
+    return time.time_ns() // 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("shown_by", "is_forgotten"),
+    [("start", True), ("drain", True), ("start", False), ("drain", False)],
+)
+def test_stream_is_not_joined_though_the_store_forgot_which_targets_left(
+    shown_by, is_forgotten
+):
+    """All VMs restart; a store that forgot tells no VM which version was there."""
+
+    @on_trio
+    async def run():
+        one_version = [{"version": "v1"}, {"version": "v1"}]
+        async with running_fleet(3, *one_version, store_history=HISTORY_MS) as fleet:
+            old, new = fleet.targets
+            fleet.store.remove(f"servers/{new.id}")
+            await trio.sleep(0.5)
+            began = [
+                await break_off(fleet, fleet.vms[number % 3], number)
+                for number in range(STREAMS)
+            ]
+            born = unix_ms() if shown_by == "start" else 1_000
+            entry = wire_target(new.server.address, born=born, version="v2")
+            fleet.store.put(f"servers/{new.id}", entry)
+            entry = wire_target(old.server.address, state="draining", version="v1")
+            fleet.store.put(f"servers/{old.id}", entry)
+            if shown_by == "start":
+                fleet.store.remove(f"servers/{old.id}")
+            if is_forgotten:
+                fleet.store.compact()
+            await trio.sleep(0.5)
+            await restart_together(fleet.vms)
+            await trio.sleep(0.6)
+            for number, (attempt, _) in enumerate(began):
+                vm = fleet.vms[number % 3]
+                status, _, places = await take_up(fleet, vm, attempt, number)
+                assert (status, places) == (503, [])
+
+    run()
--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -29,6 +29,7 @@
 from yuccafold.edge._target_history import MAX_ROWS
 from yuccafold.edge._target_history import UNKNOWN_SOFTWARE
 from yuccafold.edge._target_history import TargetHistory
+from yuccafold.edge._target_history import known_reach
 from yuccafold.edge._version_choice import ANY_VERSION
 from yuccafold.edge._version_choice import NO_VERSION
 from yuccafold.edge._version_choice import choose_version
@@ -290,3 +291,30 @@
     old._horizon = at(52_000)
     exchange_once(late, old, 60_100)
     assert late.horizon == 52_000
+
+
+UNIX_NOW = Milliseconds(1_800_000_000_000)
+
+
+@pytest.mark.parametrize(
+    ("age", "state", "reach"),
+    [
+        (60_000, TargetState.READY, REACH),
+        (60_000, TargetState.DRAINING, 0),
+        (19_000, TargetState.READY, 0),
+        (-2_000, TargetState.READY, 0),
+    ],
+)
+def test_store_that_forgot_a_young_change_is_not_known_to_remember(age, state, reach):
+    """Streams went on at another version: the store had discarded its history."""
+    old = target("t1", born_ms=UNIX_NOW - 90_000)
+    changed = target("t2", born_ms=UNIX_NOW - age, state=state)
+    assert known_reach([old, changed], REACH, UNIX_NOW) == reach
+
+
+def test_past_of_unknown_reach_names_what_left_and_completes_nothing():
+    history = just_started()
+    history.extend([draining(0)], Milliseconds(0), at(STARTED_AT + 100))
+    assert not history.is_complete(at(STARTED_AT + 1_000))
+    versions = {row[2] for row in history.departed_rows(at(STARTED_AT + 1_000))}
+    assert versions == {V1}
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -331,6 +331,19 @@
             await source.changes(lost, SHORT_WAIT)
 
 
+@on_trio
+async def test_changes_that_the_store_remembers_are_found():
+    async with store_with("t1", "t2") as (store, source):
+        until = store.put("servers/t3", wire_target("10.0.0.1:80"))
+        past = await source.remembered_changes(until)
+        assert (len(past.entries), past.after) == (3, 0)
+        store.compact()
+        until = store.put("servers/t4", wire_target("10.0.0.1:81"))
+        past = await source.remembered_changes(until)
+        assert [entry.key for entry in past.entries] == ["servers/t4"]
+        assert past.after == until - 1
+
+
 @pytest.mark.parametrize(
     ("version", "software"),
     [("v1.1", "v1.1"), (3, "3"), (None, ""), ([], ""), ("", "")],
