Take streams up at the service that began them

Cause: the service of a call was drawn at random, also for a take-up. The version was then looked for at that service, recorded for the stream as evident, and reported to other VMs, which used it for whichever service they drew.

The service now follows from the call's id and the weights, so that all VMs choose alike, and a take-up names the call that brought the first event. What VMs keep and report of a stream has its service. Services that a route had until lately are remembered: a stream that may have begun at another one than is chosen now goes on only if its service is known and still one of the route's. VMs of earlier builds draw at random; beside them (protocol_2) services of divided routes are not evident.

The same cause: routes that moved to another service, and calls that another VM sends on, which drew a service of their own.

Tests changed: builders of StreamBegin name the route and the call, the report of a seed has protocol_2.

--- a/src/yuccafold/edge/_call.py
+++ b/src/yuccafold/edge/_call.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
 
@@ -17,6 +16,7 @@
 from yuccafold.edge._gate import Gate
 from yuccafold.edge._model import CallHead
 from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import Route
 from yuccafold.http import Headers
 from yuccafold.http import first_value
 
@@ -70,9 +70,12 @@
     body: bytes,
     gate: Gate,
     arrived_at: Milliseconds,
-    rng: random.Random,
+    choose_service: Callable[[CallHead, Route], ServiceId],
 ) -> Call | Refusal:
-    """Return the admitted call, or a refusal by the settings in force."""
+    """Return the admitted call, or a refusal by the settings in force.
+
+    ``choose_service`` returns the one of the route's services that the call goes to.
+    """
     host = (first_value(headers, b"host") or "").partition(":")[0].lower()
     path = target.partition(QUERY_SEPARATOR)[0].decode("latin-1")
     admitted = gate.admit(host, path, head.api_key, arrived_at, head.deadline)
@@ -83,7 +86,7 @@
     return Call(
         head=head,
         admitted=admitted.ok_value,
-        service=_choose_service(route.services, rng),
+        service=choose_service(head, route),
         method=method,
         target=target,
         headers=headers,
@@ -93,16 +96,6 @@
     )
 
 
-def _choose_service(
-    services: Sequence[tuple[ServiceId, float]], rng: random.Random
-) -> ServiceId:
-    """Choose the service of a call, at random by weight if there are several."""
-    if len(services) == 1:
-        return services[0][0]
-    names, weights = zip(*services, strict=True)
-    return rng.choices(names, weights)[0]
-
-
 class RunRecord:
     """Whether a call may have run, over all of its attempts."""
 
--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -201,7 +201,7 @@
             body,
             self._gate,
             arrived_at,
-            self._rng,
+            self._forwarder.choose_service,
         )
 
     async def _forward_call(self, call: Call, responder: EdgeResponder) -> None:
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -40,8 +40,10 @@
 from yuccafold.edge._idle_trust import IdleLimits
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import AnswerFacts
+from yuccafold.edge._model import CallHead
 from yuccafold.edge._model import Forwarding
 from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import Route
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._placement import Placement
 from yuccafold.edge._platform_source import CallTranslator
@@ -106,6 +108,10 @@
             if not responder.started:
                 scope.cancel()
 
+    def choose_service(self, head: CallHead, route: Route) -> ServiceId:
+        """Return the service that a call of ``route`` goes to."""
+        return self._targets.streams.choose_service(head, route)
+
     async def forward(self, call: Call, responder: EdgeResponder) -> Refusal | None:
         """Answer ``call``; return why it was refused or its answer broke off, if so."""
         relay = AnswerRelay(call, responder)
--- a/src/yuccafold/edge/_stream_exchange.py
+++ b/src/yuccafold/edge/_stream_exchange.py
@@ -18,6 +18,8 @@
 POSITION_FIELD = "streams_after"
 EPOCH_FIELD = "streams_epoch"
 AGE_FIELD = "streams_age_ms"
+SERVICES_FIELD = "stream_services"
+"""The services of the streams; VMs of earlier builds send none."""
 
 
 @final
@@ -35,11 +37,13 @@
     def query(self, now: Milliseconds) -> dict[str, Any]:
         """Return the fields of the next request."""
         rows, self._sending = self._streams.changes(self._sent, self._peer, now)
+        services = self._streams.services(rows)
         return {
             POSITION_FIELD: self._received,
             EPOCH_FIELD: self._peer_epoch,
             AGE_FIELD: self._streams.reports_age(now),
             **({STREAMS_FIELD: json.dumps(rows)} if rows else {}),
+            **({SERVICES_FIELD: json.dumps(services)} if services else {}),
         }
 
     def record_answer(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
@@ -57,7 +61,12 @@
 
     def _merge(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
         epoch = str(fields[EPOCH_FIELD])
-        self._streams.merge(fields.get(STREAMS_FIELD, {}), self._peer, now)
+        self._streams.merge(
+            fields.get(STREAMS_FIELD, {}),
+            self._peer,
+            now,
+            fields.get(SERVICES_FIELD, {}),
+        )
         self._received = int(fields[POSITION_FIELD])
         reports_age = Milliseconds(int(fields.get(AGE_FIELD, 0)))
         self._streams.record_reports_age(reports_age, now)
@@ -75,7 +84,12 @@
     """
     reader = fields.get("vm", "")
     try:
-        streams.merge(parse_json(fields.get(STREAMS_FIELD, "{}")), reader, now)
+        streams.merge(
+            parse_json(fields.get(STREAMS_FIELD, "{}")),
+            reader,
+            now,
+            parse_json(fields.get(SERVICES_FIELD, "{}")),
+        )
         after = int(fields.get(POSITION_FIELD, NOTHING_REPORTED))
         reports_age = Milliseconds(int(fields.get(AGE_FIELD, 0)))
         streams.record_reports_age(reports_age, now)
@@ -85,9 +99,11 @@
     if fields.get(EPOCH_FIELD) != streams.epoch:
         after = NOTHING_REPORTED
     rows, position = streams.changes(after, reader, now)
+    services = streams.services(rows)
     return {
         POSITION_FIELD: position,
         EPOCH_FIELD: streams.epoch,
         AGE_FIELD: streams.reports_age(now),
         **({STREAMS_FIELD: rows} if rows else {}),
+        **({SERVICES_FIELD: services} if services else {}),
     }
--- a/src/yuccafold/edge/_stream_versions.py
+++ b/src/yuccafold/edge/_stream_versions.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import chain
 from typing import Any
 from typing import NewType
 from typing import final
@@ -18,6 +21,7 @@
 from yuccafold._ids import ServiceId
 from yuccafold._parsing import parse_whole
 from yuccafold.edge._model import PartId
+from yuccafold.edge._model import RouteName
 from yuccafold.edge._model import SoftwareVersion
 
 StreamKey = NewType("StreamKey", str)
@@ -40,22 +44,30 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StreamBegin:
-    """Where a stream of this VM began, and what its version is chosen by."""
+    """Where a stream of this VM began, and what decides that.
+
+    The version is chosen by ``key``, the service by ``route`` and ``first``, the call
+    that brought the first event.
+    """
 
     service: ServiceId
     key: PartId
     version: SoftwareVersion
+    route: RouteName
+    first: CallId
 
 
 @final
 @dataclass(slots=True)
 class ReportedStream:
-    """The version of a stream that VMs report to each other.
+    """The version and service of a stream that VMs report to each other.
 
-    ``position`` orders the reports; ``reported_by`` is the VM that it came from.
+    ``position`` orders the reports; ``reported_by`` is the VM that it came from. VMs of
+    earlier builds name no ``service``.
     """
 
     version: SoftwareVersion
+    service: ServiceId | None
     at: Milliseconds
     position: int
     reported_by: str
@@ -107,7 +119,7 @@
         self._running.add(key)
         if self._is_evident(stream, now):
             return False
-        self._report(key, stream.version, now, reported_by="")
+        self._report(key, stream.version, stream.service, now, reported_by="")
         return True
 
     def end(self, key: StreamKey, is_whole: bool, now: Milliseconds) -> None:
@@ -128,6 +140,21 @@
         """Return the version of a stream that another VM reported."""
         return self._reported[key].version if key in self._reported else None
 
+    def service(self, key: StreamKey) -> ServiceId | None:
+        """Return the service of a stream that this VM relayed or that was reported."""
+        if key in self._own:
+            return self._own[key][0].service
+        return self._reported[key].service if key in self._reported else None
+
+    def services(self, rows: Mapping[str, Iterable[str]]) -> dict[str, list[str]]:
+        """Return the keys of streams in ``rows`` by service, if that is known."""
+        found: dict[str, list[str]] = {}
+        for text in chain.from_iterable(rows.values()):
+            key = StreamKey(text.partition(":")[0])
+            if (service := self._reported[key].service) is not None:
+                found.setdefault(service, []).append(key)
+        return found
+
     def changes(
         self, after: int, reader: str, now: Milliseconds
     ) -> tuple[dict[str, list[str]], int]:
@@ -152,31 +179,46 @@
             rows.setdefault(stream.version, []).append(f"{key}:{now - stream.at}")
         return rows, reached
 
-    def merge(self, rows: Any, reported_by: str, now: Milliseconds) -> None:
-        """Add rows of another VM; raises ``ValueError`` if they are malformed."""
+    def merge(
+        self, rows: Any, reported_by: str, now: Milliseconds, services: Any = ()
+    ) -> None:
+        """Add rows of another VM; raises ``ValueError`` if they are malformed.
+
+        ``services`` are the keys of their streams by service.
+        """
+        service_of = {
+            StreamKey(str(key)): ServiceId(str(service))
+            for service, keys in dict(services).items()
+            for key in keys
+        }
         for version, texts in dict(rows).items():
             for text in texts:
-                key, _, age = str(text).partition(":")
-                at = Milliseconds(now - parse_whole(age))
-                self._report(StreamKey(key), SoftwareVersion(version), at, reported_by)
+                name, _, age = str(text).partition(":")
+                key, at = StreamKey(name), Milliseconds(now - parse_whole(age))
+                self._report(
+                    key, SoftwareVersion(version), service_of.get(key), at, reported_by
+                )
 
     def _report_moved(self, now: Milliseconds) -> None:
         """Report own streams whose version others can no longer compute."""
         for key, (stream, at) in self._own.items():
             if key not in self._reported and not self._is_evident(stream, now):
-                self._report(key, stream.version, at, reported_by="")
+                self._report(key, stream.version, stream.service, at, reported_by="")
 
     def _report(
         self,
         key: StreamKey,
         version: SoftwareVersion,
+        service: ServiceId | None,
         at: Milliseconds,
         reported_by: str,
     ) -> None:
         if key in self._reported:
             return
         self._position += 1
-        self._reported[key] = ReportedStream(version, at, self._position, reported_by)
+        self._reported[key] = ReportedStream(
+            version, service, at, self._position, reported_by
+        )
 
     def _expire(self, now: Milliseconds) -> None:
         expired = [
--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -1,4 +1,7 @@
-"""Finds out at which software version a stream that a caller takes up may go on."""
+"""Finds out where a stream that a caller takes up may go on.
+
+That is at the service and the software version that began it.
+"""
 
 from __future__ import annotations
 
@@ -8,9 +11,13 @@
 
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
+from yuccafold._ids import ServiceId
 from yuccafold._log import log_event
 from yuccafold.edge._call import Call
+from yuccafold.edge._model import CallHead
+from yuccafold.edge._model import Catalogue
 from yuccafold.edge._model import Repeatability
+from yuccafold.edge._model import Route
 from yuccafold.edge._model import RouteName
 from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetRecord
@@ -23,6 +30,8 @@
 from yuccafold.edge._version_choice import choose_version
 from yuccafold.edge._version_choice import possible_versions
 from yuccafold.edge._view import PlatformView
+from yuccafold.edge.split import RouteServices
+from yuccafold.edge.split import choose_service
 
 
 class OriginSource(Enum):
@@ -52,6 +61,7 @@
 """Within this time all VMs have received a report on a stream."""
 
 NEW_STREAM = StreamOrigin(None, OriginSource.NEW)
+UNKNOWN_STREAM = StreamOrigin(None, OriginSource.UNKNOWN)
 
 
 @final
@@ -63,12 +73,35 @@
         self._history = view.history
         self._versions = StreamVersions(epoch, self._is_evident)
         self._caller_times: dict[RouteName, Milliseconds] = {}
+        self._route_services = RouteServices()
 
     @property
     def versions(self) -> StreamVersions:
         """The streams that this VM knows, for the exchange with others."""
         return self._versions
 
+    @property
+    def route_services(self) -> RouteServices:
+        """The services of routes, now and until lately."""
+        return self._route_services
+
+    def apply_catalogue(self, catalogue: Catalogue, now: Milliseconds) -> None:
+        """Apply the services of routes that are in force from now on."""
+        self._route_services.apply(catalogue, now, self._history.window)
+
+    def choose_service(self, head: CallHead, route: Route) -> ServiceId:
+        """Return the service of a call: if it takes up a stream, that one's.
+
+        A call that doesn't name the first one gets a service like a new one; its
+        stream is of unknown origin if the route has several.
+        """
+        first = head.resumes if head.takes_up else head.id
+        if route.repeatability is Repeatability.RESUMABLE and head.takes_up and first:
+            known = self._versions.service(stream_key(first))
+            if known in {service for service, _ in route.services}:
+                return known
+        return choose_service(route.services, first or head.id)
+
     def choose_version(self, call: Call, now: Milliseconds) -> VersionChoice:
         """Return the versions that ``call`` may begin at."""
         if call.repeatability is not Repeatability.RESUMABLE or call.head.takes_up:
@@ -93,6 +126,7 @@
             call=call.head.id,
             resumes=call.head.resumes,
             resume_after=call.head.resume_after,
+            service=call.service,
             software=origin.version,
             known_by=origin.source.value,
             history_ms=self._history.age(now),
@@ -108,6 +142,9 @@
         The age of the stream follows from the time that callers of its route have, or
         from the timeout of the route before the first one came.
         """
+        if self._known_service(call) not in (None, call.service):
+            # The route has left the service of the stream.
+            return False
         route = call.admitted.route
         age = self._caller_times.get(route.name, route.timeout) - call.head.deadline
         is_recent = age < REPORT_TIME or self._history.has_just_started(now)
@@ -122,7 +159,13 @@
         first = _first_call(call)
         if call.repeatability is not Repeatability.RESUMABLE or first is None:
             return False
-        stream = StreamBegin(call.service, choice_key(call.head), target.software)
+        stream = StreamBegin(
+            call.service,
+            choice_key(call.head),
+            target.software,
+            call.admitted.route.name,
+            first,
+        )
         is_reported = self._versions.begin(stream_key(first), stream, now)
         return is_reported and self._history.is_complete(now)
 
@@ -133,6 +176,8 @@
             self._versions.end(stream_key(key), is_whole, now)
 
     def _find_origin(self, call: Call, now: Milliseconds) -> StreamOrigin:
+        if not self._is_at_its_service(call, now):
+            return UNKNOWN_STREAM
         if call.head.resumes is not None:
             key = stream_key(call.head.resumes)
             for version, source in (
@@ -152,7 +197,25 @@
         is_fresh = age is not None and age <= self._history.lag
         if possible is not None and len(possible) == 1 and is_fresh:
             return StreamOrigin(possible.pop(), OriginSource.EVIDENT)
-        return StreamOrigin(None, OriginSource.UNKNOWN)
+        return UNKNOWN_STREAM
+
+    def _known_service(self, call: Call) -> ServiceId | None:
+        """Return the service of the stream that ``call`` takes up, if it is known."""
+        first = call.head.resumes
+        return None if first is None else self._versions.service(stream_key(first))
+
+    def _is_at_its_service(self, call: Call, now: Milliseconds) -> bool:
+        """Return whether ``call`` goes to the service that began its stream."""
+        known = self._known_service(call)
+        if known is not None:
+            return known == call.service
+        window = self._history.window_of(self._max_stream_age(call))
+        return self._route_services.is_evident(
+            call.admitted.route.name,
+            call.head.resumes,
+            call.service,
+            Milliseconds(now - window),
+        )
 
     def _record_caller_time(self, call: Call) -> None:
         name = call.admitted.route.name
@@ -173,7 +236,12 @@
 
     def _is_evident(self, stream: StreamBegin, now: Milliseconds) -> bool:
         possible = possible_versions(self._history, stream.service, stream.key, now)
-        return possible == {stream.version}
+        return possible == {stream.version} and self._route_services.is_evident(
+            stream.route,
+            stream.first,
+            stream.service,
+            Milliseconds(now - self._history.window),
+        )
 
 
 def _first_call(call: Call) -> CallId | None:
--- a/src/yuccafold/edge/_targets.py
+++ b/src/yuccafold/edge/_targets.py
@@ -120,6 +120,7 @@
             work=WorkBalance(loads, self._holders, rng, settings.placing_by_work),
             slot_shares=SlotShares(settings.vm),
             sharing=AdmissionPolicy(rng, settings.sharing),
+            route_services=self._streams.route_services,
         )
         self._brittle = BrittleTargets()
         self._pauses = TargetPauses()
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -59,6 +59,8 @@
 from yuccafold.edge.reports import VmReport
 from yuccafold.edge.sharing import AdmissionPolicy
 from yuccafold.edge.sharing import sharing_topics
+from yuccafold.edge.split import RouteServices
+from yuccafold.edge.split import ServiceChoiceTopic
 from yuccafold.edge.work import MovesTopic
 from yuccafold.edge.work import WorkBalance
 
@@ -336,6 +338,7 @@
     sharing: AdmissionPolicy = field(
         default_factory=lambda: AdmissionPolicy(random.Random(0))
     )
+    route_services: RouteServices = field(default_factory=RouteServices)
     topics: Topics = field(init=False)
 
     def __post_init__(self) -> None:
@@ -354,6 +357,7 @@
                 AnswerPacesTopic(self.answer_paces),
                 *sharing_topics(self.sharing),
                 MovesTopic(self.work.moved),
+                ServiceChoiceTopic(self.route_services),
             ]
         )
         object.__setattr__(self, "topics", topics)
--- a/src/yuccafold/edge/explain/_explainer.py
+++ b/src/yuccafold/edge/explain/_explainer.py
@@ -100,7 +100,7 @@
             b"",
             Gate(self._view, self._settings, rng),
             now,
-            rng,
+            self._targets.streams.choose_service,
         )
         if question.service is None or isinstance(call, Refusal):
             return call
--- a/src/yuccafold/edge/reports/_protocol.py
+++ b/src/yuccafold/edge/reports/_protocol.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import final
 
 from yuccafold._clock import Milliseconds
 from yuccafold.edge.reports._topic import Topic
@@ -11,12 +10,11 @@
 from yuccafold.edge.reports._topic import parse_count
 
 
-@final
 class ProtocolTopic(Topic[int]):
     """The number of VMs that speak protocol 1, of which VMs of earlier builds are none.
 
     What all VMs have to do alike begins only once all of them do it. A build that adds
-    such a feature adds a topic with the next number, and reports this one as well.
+    such a feature adds a subclass with the next number, and reports this one as well.
     """
 
     name = "protocol_1"
--- a/testing/edge/explain/played_vm.py
+++ b/testing/edge/explain/played_vm.py
@@ -206,7 +206,7 @@
             b"",
             self.gate,
             self.now,
-            self.rng,
+            self.targets.streams.choose_service,
         )
 
     def decide(self, question):
--- a/testing/edge/reports/test_topics.py
+++ b/testing/edge/reports/test_topics.py
@@ -134,6 +134,7 @@
         "leaving": "",
         "helpers": "",
         "protocol_1": "",
+        "protocol_2": "",
     }
 
 
--- a/testing/edge/test_earlier_build.py
+++ b/testing/edge/test_earlier_build.py
@@ -25,6 +25,7 @@
 from yuccafold.edge import Entry
 from yuccafold.edge import PartId
 from yuccafold.edge import PlatformUnavailableError
+from yuccafold.edge import RouteName
 from yuccafold.edge import SocketAddress
 from yuccafold.edge import StoreEra
 from yuccafold.edge import ZoneEvacuated
@@ -104,7 +105,9 @@
 def recorded_evidence():
     """Return what the VMs knew whose messages were recorded."""
     streams = StreamVersions("e1", lambda *_: False)
-    begin = StreamBegin(DESK, PartId("p"), SoftwareVersion("v1"))
+    begin = StreamBegin(
+        DESK, PartId("p"), SoftwareVersion("v1"), RouteName("r1"), CallId("a1")
+    )
     streams.begin(stream_key(CallId("c1")), begin, NOW)
     evidence = TargetEvidence(streams=streams)
     evidence.loads.start(T1)
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -241,6 +241,7 @@
     assert {name: value for name, value in received.values.items() if value} == {
         "loads": {"t1": 4},
         "protocol_1": 1,
+        "protocol_2": 1,
     }
 
 
--- a/testing/edge/test_request_sizes.py
+++ b/testing/edge/test_request_sizes.py
@@ -19,6 +19,7 @@
 from yuccafold._ids import VmId
 from yuccafold.edge import PartId
 from yuccafold.edge import PlatformUnavailableError
+from yuccafold.edge import RouteName
 from yuccafold.edge import SocketAddress
 from yuccafold.edge._entries import EntryTable
 from yuccafold.edge._model import SoftwareVersion
@@ -55,7 +56,9 @@
 def busy_evidence(streams, targets, listed):
     """Return what a VM knows that has calls, notices and limits of many targets."""
     versions = StreamVersions("epoch", lambda *_: False)
-    begin = StreamBegin(DESK, PartId("p"), SoftwareVersion("v1.25.3"))
+    begin = StreamBegin(
+        DESK, PartId("p"), SoftwareVersion("v1.25.3"), RouteName("r1"), CallId("a1")
+    )
     for number in range(streams):
         versions.begin(stream_key(CallId(f"c{number}")), begin, NOW)
     history = TargetHistory()
--- a/testing/edge/test_stream_origins.py
+++ b/testing/edge/test_stream_origins.py
@@ -25,6 +25,7 @@
 from yuccafold.edge import CallHead
 from yuccafold.edge import PartId
 from yuccafold.edge import Repeatability
+from yuccafold.edge import RouteName
 from yuccafold.edge import SoftwareVersion
 from yuccafold.edge import TargetState
 from yuccafold.edge._call import Call
@@ -59,6 +60,10 @@
     return Milliseconds(ms)
 
 
+def begun_at(version, key="p1"):
+    return StreamBegin(DESK, key, version, RouteName("r1"), CallId("a1"))
+
+
 @dataclass
 class Tally:
     right: int = 0
@@ -162,7 +167,7 @@
     version = vm.choose(key, now, rng.random() < spill_share)
     if version is None:
         return False
-    stream = StreamBegin(DESK, key, version)
+    stream = begun_at(version, key)
     vm.streams.versions.begin(stream_key(call), stream, at(now))
     running.append((now + rng.randrange(200, 6_000), vm, call, key, version))
     return True
@@ -212,8 +217,8 @@
 
 def test_only_streams_that_others_cannot_tell_are_told():
     streams = StreamVersions("e1", lambda stream, _: stream.version == V1)
-    assert not streams.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
-    assert streams.begin(stream_key("b"), StreamBegin(DESK, "p1", V2), at(10))
+    assert not streams.begin(stream_key("a"), begun_at(V1), at(0))
+    assert streams.begin(stream_key("b"), begun_at(V2), at(10))
     rows, _ = streams.changes(0, "vm-2", at(40))
     assert rows == {"v2": [f"{stream_key('b')}:30"]}
 
@@ -221,7 +226,7 @@
 def test_stream_is_told_once_its_prompt_moves_to_another_version():
     preferred = {"p1": V1}
     streams = StreamVersions("e1", lambda stream, _: preferred["p1"] == stream.version)
-    streams.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
+    streams.begin(stream_key("a"), begun_at(V1), at(0))
     assert streams.changes(0, "vm-2", at(10)) == ({}, 0)
     preferred["p1"] = V2
     rows, position = streams.changes(0, "vm-2", at(20))
@@ -232,7 +237,7 @@
 def test_whole_stream_is_forgotten_and_broken_one_is_kept_for_a_while():
     streams = StreamVersions("e1")
     for name, is_whole in (("a", True), ("b", False)):
-        streams.begin(stream_key(name), StreamBegin(DESK, "p1", V1), at(0))
+        streams.begin(stream_key(name), begun_at(V1), at(0))
         streams.end(stream_key(name), is_whole, at(1_000))
     assert streams.own_version(stream_key("a")) is None
     streams.changes(0, "vm-2", at(1_000 + STREAM_RETENTION))
@@ -245,7 +250,7 @@
     streams = StreamVersions("e1", lambda *_: False)
     for number in range(MAX_STREAMS + 10):
         key = stream_key(f"c{number}")
-        streams.begin(key, StreamBegin(DESK, "p1", V1), at(0))
+        streams.begin(key, begun_at(V1), at(0))
     rows, position = streams.changes(0, "vm-2", at(10))
     assert len(rows["v1"]) == MAX_ROWS
     seen = MAX_ROWS
@@ -266,8 +271,8 @@
     first = StreamVersions("e1", lambda *_: False)
     second = StreamVersions("e2", lambda *_: False)
     exchange = StreamExchange(first, "vm-2")
-    first.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
-    second.begin(stream_key("b"), StreamBegin(DESK, "p1", V2), at(0))
+    first.begin(stream_key("a"), begun_at(V1), at(0))
+    second.begin(stream_key("b"), begun_at(V2), at(0))
     exchange_once(first, exchange, second, 10)
     assert first.reported_version(stream_key("b")) == V2
     assert second.reported_version(stream_key("a")) == V1
@@ -279,7 +284,7 @@
 def test_vm_that_restarted_is_told_all_again():
     first = StreamVersions("e1", lambda *_: False)
     exchange = StreamExchange(first, "vm-2")
-    first.begin(stream_key("a"), StreamBegin(DESK, "p1", V1), at(0))
+    first.begin(stream_key("a"), begun_at(V1), at(0))
     exchange_once(first, exchange, StreamVersions("e2"), 10)
     restarted = StreamVersions("e3")
     exchange_once(first, exchange, restarted, 20)
--- /dev/null
+++ b/testing/edge/test_streams_of_two_services.py
@@ -0,0 +1,96 @@
+"""Plays streams of a route that is divided between two services.
+
+Guards against a stream that another VM takes up at the other service: it holds events
+of two models, or of two software versions of one.
+"""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from edge.builders import wire_config
+from edge.builders import wire_route
+from edge.edge_fleet import running_fleet
+from edge.test_streams_of_two_versions import break_off
+from edge.test_streams_of_two_versions import take_up
+from support.loopback import on_trio
+
+SERVICES = ("desk", "other")
+TARGETS = [{"service": service} for service in SERVICES]
+STREAMS = 16
+
+
+def divided(**weights):
+    """Return a configuration that divides a route of streams by weights."""
+    route = wire_route("/chat/", "streaming", resumable=True)
+    services = [{"name": name, "weight": weights[name]} for name in weights]
+    split = [{"service": each["name"], "weight": each["weight"]} for each in services]
+    del route["service"]
+    named = [wire_route(f"/{name}/", "safe", service=name) for name in SERVICES]
+    return [route | {"traffic_split": split}, *named]
+
+
+async def configure(fleet, version, **weights):
+    config = wire_config(*divided(**weights), version=version)
+    fleet.store.put("op/config", config)
+    await trio.sleep(0.6)
+
+
+def service_of(fleet, name):
+    number = next(n for n, each in enumerate(fleet.targets) if each.id == name)
+    return TARGETS[number]["service"]
+
+
+def complete_histories(fleet):
+    """Have all VMs know targets and settings as if they had run for a long time."""
+    fleet.complete_histories()
+    for vm in fleet.vms:
+        vm.router._targets.streams.route_services._former.clear()
+
+
+async def begin_streams(fleet):
+    return [
+        await break_off(fleet, fleet.vms[number % 3], number)
+        for number in range(STREAMS)
+    ]
+
+
+@on_trio
+async def test_stream_is_taken_up_at_the_service_that_began_it():
+    async with running_fleet(4, *TARGETS) as fleet:
+        await configure(fleet, 5, desk=50, other=50)
+        complete_histories(fleet)
+        began = await begin_streams(fleet)
+        assert {service_of(fleet, name) for _, name in began} == set(SERVICES)
+        fleet.vms[0].kill()
+        for number, (attempt, began_at) in enumerate(began):
+            vm = fleet.vms[1 + (number + 1) % 3]
+            status, _, places = await take_up(fleet, vm, attempt, number)
+            assert status == 200
+            assert {service_of(fleet, name) for name in places} == {
+                service_of(fleet, began_at)
+            }
+
+
+@pytest.mark.parametrize("weights", [{"desk": 1}, {"desk": 90, "other": 10}])
+def test_stream_is_not_taken_up_at_the_service_that_its_route_moved_to(weights):
+    @on_trio
+    async def run():
+        async with running_fleet(4, *TARGETS) as fleet:
+            await configure(fleet, 5, desk=10, other=90)
+            complete_histories(fleet)
+            began = await begin_streams(fleet)
+            await configure(fleet, 9, **weights)
+            statuses = set()
+            for number, (attempt, began_at) in enumerate(began):
+                vm = fleet.vms[(number + 1) % 4]
+                status, _, places = await take_up(fleet, vm, attempt, number)
+                service = service_of(fleet, began_at)
+                assert {service_of(fleet, name) for name in places} <= {service}
+                assert (status == 200) == bool(places)
+                statuses.add((service, status))
+            assert ("desk", 200) in statuses
+            assert (("other", 200) in statuses) == ("other" in weights)
+
+    run()
--- a/testing/edge/test_vms_out_of_step.py
+++ b/testing/edge/test_vms_out_of_step.py
@@ -38,7 +38,9 @@
     """Have the VM know more streams than fit into a message to another one."""
     versions = vm.router._targets.streams.versions
     for number in range(5 * MAX_ROWS):
-        versions._report(StreamKey(f"more{number}"), SoftwareVersion("v1"), now, "")
+        versions._report(
+            StreamKey(f"more{number}"), SoftwareVersion("v1"), None, now, ""
+        )
 
 
 async def get_in_step(vm):
