Serve other calls beside an answer in pieces without end

Cause: a read of 64 KiB holds some 11,000 such chunks, which were parsed one after the other without a turn for other tasks; an answer that is held back was bounded in bytes, not in pieces.

Other tasks now run after 64 events of a connection, whoever is at its other end. A held answer has 16,384 pieces at most; with more it is broken, so that another target is tried.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -28,6 +28,10 @@
 """Answers up to this size are held until they are complete, so that a call whose answer
 breaks off can be retried. Larger ones are relayed as they arrive."""
 
+MAX_HELD_PIECES = 16_384
+"""Pieces in which a held answer may come. A target that sends its answer byte by byte
+is likely to go on, and each piece costs as much as a whole answer does."""
+
 MAX_EVENT_ID_DIGITS = 18
 """Digits of an event's id; one of more of them doesn't count as a number."""
 
@@ -134,6 +138,36 @@
     return None
 
 
+@final
+class HeldAnswer:
+    """The body of an answer as far as it is held back.
+
+    Raises ``AttemptFailedError`` if it comes in too many pieces.
+    """
+
+    def __init__(self) -> None:
+        self._body = bytearray()
+        self._pieces = 0
+
+    @property
+    def body(self) -> bytes:
+        """What was received so far."""
+        return bytes(self._body)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it is longer than an answer that is held back."""
+        return len(self._body) > MAX_HELD_ANSWER_BYTES
+
+    def feed(self, data: bytes) -> None:
+        """Add the next piece."""
+        self._body += data
+        self._pieces += 1
+        if self._pieces > MAX_HELD_PIECES:
+            detail = f"{len(self._body)} bytes in more than {MAX_HELD_PIECES} pieces"
+            raise AttemptFailedError(Failure.BROKEN, detail)
+
+
 async def claim_alone() -> None:
     """Claim a caller that no other attempt may answer."""
 
@@ -222,14 +256,14 @@
 
     async def _hold_error(self, exchange: Exchange, head: h11.Response) -> None:
         """Hold back a server error, and raise so that another target may be tried."""
-        body = bytearray()
+        held = HeldAnswer()
         while (data := await exchange.receive()) is not None:
-            body += data
-            if len(body) > MAX_HELD_ANSWER_BYTES:
+            held.feed(data)
+            if held.is_full:
                 detail = f"status {head.status_code} with too long a body"
                 raise AttemptFailedError(Failure.BROKEN, detail)
         exchange.mark_complete()
-        self._held_error = (head, bytes(body), exchange.framing)
+        self._held_error = (head, held.body, exchange.framing)
         raise AttemptFailedError(Failure.ERROR, f"status {head.status_code}")
 
     async def _relay_whole(
@@ -238,24 +272,24 @@
         head: h11.Response,
         claim: Callable[[], Awaitable[None]],
     ) -> None:
-        held = bytearray()
+        held = HeldAnswer()
         is_begun = False
         while (data := await exchange.receive()) is not None:
             if is_begun:
                 await self._responder.send(data)
                 continue
-            held += data
-            if len(held) > MAX_HELD_ANSWER_BYTES:
+            held.feed(data)
+            if held.is_full:
                 await claim()
                 is_begun = True
                 self._start(exchange.framing, head)
-                await self._responder.send(bytes(held))
+                await self._responder.send(held.body)
         exchange.mark_complete()
         if is_begun:
             await self._finish()
         else:
             await claim()
-            await self._send_whole(head, exchange.framing, bytes(held))
+            await self._send_whole(head, exchange.framing, held.body)
 
     async def _send_whole(
         self, head: h11.Response, framing: Framing | None, body: bytes
--- a/src/yuccafold/http/_stream.py
+++ b/src/yuccafold/http/_stream.py
@@ -12,6 +12,10 @@
 
 READ_BYTES = 65_536
 
+EVENTS_PER_TURN = 64
+"""Events that are parsed before other tasks run. One read may hold over ten thousand,
+if a body comes in chunks of a byte, and each takes some 30 us."""
+
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
 
@@ -56,6 +60,7 @@
         self._stream = stream
         self._http = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
         self._eof = False
+        self._events_in_turn = 0
 
     @property
     def protocol(self) -> h11.Connection:
@@ -72,7 +77,14 @@
         self._http = connection
 
     async def next_event(self) -> Any:
-        """Return the next ``h11`` event, reading from the stream as needed."""
+        """Return the next ``h11`` event, reading from the stream as needed.
+
+        Other tasks run now and then, also if no bytes have to be waited for.
+        """
+        if self._events_in_turn >= EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await trio.lowlevel.checkpoint()
+        self._events_in_turn += 1
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
@@ -82,6 +94,7 @@
     async def receive(self) -> bool:
         """Receive bytes into the protocol state; return ``False`` at the end."""
         data = await self._stream.receive_some(READ_BYTES)
+        self._events_in_turn = 0
         self._http.receive_data(data)
         if not data:
             self._eof = True
