Leave out of a resumed stream what has no place in it

Cause: an event without a number as id counted as new wherever it came, and the end of any answer as that of the stream.

In a resumed stream an event must now have the next id, only comments may have none. An answer that ends before the events that were sent, that has no body, or that doesn't say that it is a stream continues none. The same holds for a stream that its caller takes up, after the event that it names: there events came twice as well.

--- a/src/yuccafold/edge/_relay.py
+++ b/src/yuccafold/edge/_relay.py
@@ -52,6 +52,7 @@
 LINE_ENDS = re.compile(rb"[\r\n]")
 
 EVENT_ID = b"id:"
+COMMENT = b":"
 FIRST_REDIRECT = 300
 FIRST_SERVER_ERROR = 500
 
@@ -83,22 +84,39 @@
 class EventCursor:
     """Splits an event stream into whole events and drops those received before.
 
-    An earlier target may have sent them before the stream was resumed at another.
-    Raises ``AttemptFailedError`` if an event is missing between two ids.
+    An earlier target may have sent them before the stream was resumed at another, or
+    another VM before the caller took it up after the event ``last_id``. What can't be
+    placed in such a stream is not a part of it.
+    Raises ``AttemptFailedError`` if an event is missing between two ids, or if one of a
+    resumed stream has no id.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, last_id: int | None = None) -> None:
         self._partial = b""
-        self._last_id: int | None = None
+        self._last_id = last_id
+        self._is_resumed = last_id is not None
+        self._highest_id: int | None = None
 
     @property
     def last_id(self) -> int | None:
         """The id of the last whole event, or ``None`` before the first."""
         return self._last_id
 
-    def discard_partial(self) -> None:
-        """Drop the incomplete event of an earlier target."""
+    @property
+    def is_behind(self) -> bool:
+        """Whether the present answer has events, but none as late as earlier answers.
+
+        One without any may have had nothing left to send.
+        """
+        if self._highest_id is None or self._last_id is None:
+            return False
+        return self._highest_id < self._last_id
+
+    def begin_answer(self) -> None:
+        """Begin the answer of a target, and drop an incomplete event of another one."""
         self._partial = b""
+        self._is_resumed = self._last_id is not None
+        self._highest_id = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that ``data`` completes and that are new."""
@@ -114,11 +132,16 @@
     def _accept(self, event: bytes) -> bool:
         """Return whether ``event`` is new, and record its id.
 
-        Events without a number as id are always new.
+        Events without a number as id are always new where a stream begins. Where it is
+        resumed, only comments may have none.
         """
         event_id = _event_id(event)
         if event_id is None:
+            if self._is_resumed and not _is_comment(event):
+                detail = "event without an id in a resumed stream"
+                raise AttemptFailedError(Failure.BROKEN, detail)
             return True
+        self._highest_id = max(event_id, self._highest_id or 0)
         if self._last_id is not None:
             if event_id <= self._last_id:
                 return False
@@ -132,12 +155,19 @@
 def _event_id(event: bytes) -> int | None:
     for line in LINE_ENDS.split(event):
         if line.startswith(EVENT_ID):
-            text = line[len(EVENT_ID) :].strip()
-            is_number = text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS
-            return int(text) if is_number else None
+            return _event_number(line[len(EVENT_ID) :].strip())
     return None
 
 
+def _event_number(text: bytes) -> int | None:
+    """Return the id of an event as a number, ``None`` if it is none."""
+    return int(text) if text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS else None
+
+
+def _is_comment(event: bytes) -> bool:
+    return all(not line or line.startswith(COMMENT) for line in LINE_ENDS.split(event))
+
+
 @final
 class HeldAnswer:
     """The body of an answer as far as it is held back.
@@ -183,7 +213,8 @@
     def __init__(self, call: Call, responder: EdgeResponder) -> None:
         self._call = call
         self._responder = responder
-        self._cursor = EventCursor()
+        resume_after = call.head.resume_after or ""
+        self._cursor = EventCursor(_event_number(resume_after.encode()))
         self._held_error: tuple[h11.Response, bytes, Framing | None] | None = None
         self._version: SoftwareVersion | None = None
         self._is_stream_whole = False
@@ -228,7 +259,7 @@
         """
         if head.status_code >= FIRST_SERVER_ERROR:
             await self._hold_error(exchange, head)
-        is_stream = self._is_stream(head)
+        is_stream = self._is_stream(head, exchange.framing)
         if self.started and not is_stream:
             detail = f"status {head.status_code} without events for a resumed stream"
             raise AttemptFailedError(Failure.BROKEN, detail)
@@ -245,12 +276,17 @@
         await self._send_whole(head, framing, body)
         return True
 
-    def _is_stream(self, head: h11.Response) -> bool:
-        """Return whether an answer is a stream of events."""
-        content_type = first_value(tuple(head.headers), b"content-type") or EVENT_STREAM
+    def _is_stream(self, head: h11.Response, framing: Framing | None) -> bool:
+        """Return whether an answer is a stream of events.
+
+        An answer that doesn't say what it is continues no stream.
+        """
+        default = "" if self.started else EVENT_STREAM
+        content_type = first_value(tuple(head.headers), b"content-type") or default
         return (
             self._call.admitted.route.streams
             and head.status_code < FIRST_REDIRECT
+            and framing is not Framing.NO_BODY
             and content_type.lower().startswith(EVENT_STREAM)
         )
 
@@ -313,7 +349,7 @@
         """
         resumable = self._call.repeatability is Repeatability.RESUMABLE
         boundary = EventBoundary()
-        self._cursor.discard_partial()
+        self._cursor.begin_answer()
         while (data := await exchange.receive()) is not None:
             boundary.feed(data)
             new_data = self._cursor.feed(data) if resumable else data
@@ -325,6 +361,9 @@
             await self._responder.send(new_data)
         if boundary.is_inside_event:
             raise AttemptFailedError(Failure.BROKEN, "ended inside an event")
+        if resumable and self._cursor.is_behind:
+            detail = f"ended before event {self._cursor.last_id}, which was sent before"
+            raise AttemptFailedError(Failure.BROKEN, detail)
         if boundary.is_at_start and exchange.framing is Framing.UNTIL_CLOSE:
             raise AttemptFailedError(Failure.BROKEN, "ended before its first event")
         exchange.mark_complete()
