Let connections leave the pool before any is closed

Connections taken from the old list were still in the new one; the next task closed them under the call that waited there.

Connections now leave the pool first, without letting other tasks run, and are closed then; nothing that was read of the pool before is used afterwards.

--- a/src/yuccafold/http/_pool.py
+++ b/src/yuccafold/http/_pool.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import chain
 from typing import final
 
 from yuccafold._clock import Clock
@@ -29,7 +31,11 @@
 
 @final
 class ConnectionPool:
-    """Keeps clean idle connections to targets for later attempts."""
+    """Keeps clean idle connections to targets for later attempts.
+
+    Closing a connection lets other tasks run. So connections leave the pool before any
+    is closed, and what was read of the pool before is not used afterwards.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -51,15 +57,24 @@
         The most recently used one is returned, but not if it was idle for longer
         than ``max_idle``. Unusable ones are closed.
         """
+        usable, unusable = self._pop(address, max_idle)
+        await _close(unusable)
+        return usable
+
+    def _pop(
+        self, address: str, max_idle: Milliseconds | None
+    ) -> tuple[IdleConnection | None, list[IdleConnection]]:
+        """Remove connections up to a usable one; return that and the unusable ones."""
         idle = self._idle.get(address, deque())
+        unusable: list[IdleConnection] = []
         while idle:
             if max_idle is not None and self.idle_ms(idle[-1]) > max_idle:
-                return None
+                break
             entry = idle.pop()
             if self._clock.now() <= entry.expires_at and entry.http.is_clean():
-                return entry
-            await entry.http.close()
-        return None
+                return entry, unusable
+            unusable.append(entry)
+        return None, unusable
 
     def idle_ms(self, entry: IdleConnection) -> int:
         """Return how long a connection has been idle."""
@@ -83,23 +98,26 @@
     async def close_expired(self) -> None:
         """Close connections whose idle time has expired."""
         now = self._clock.now()
-        for address, idle in list(self._idle.items()):
-            expired = [entry for entry in idle if now > entry.expires_at]
-            kept = deque(entry for entry in idle if now <= entry.expires_at)
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
-            for entry in expired:
-                await entry.http.close()
+        every = chain.from_iterable(self._idle.values())
+        expired = [entry for entry in every if now > entry.expires_at]
+        kept = {
+            address: deque(entry for entry in idle if now <= entry.expires_at)
+            for address, idle in self._idle.items()
+        }
+        self._idle = {address: idle for address, idle in kept.items() if idle}
+        await _close(expired)
 
     async def discard(self, address: str) -> None:
         """Close all idle connections to ``address``, e.g. after one went silent."""
         self._max_idle.pop(address, None)
-        for entry in self._idle.pop(address, deque()):
-            await entry.http.close()
+        await _close(self._idle.pop(address, deque()))
 
     async def close(self) -> None:
         """Close every idle connection."""
         for address in list(self._idle):
             await self.discard(address)
+
+
+async def _close(entries: Iterable[IdleConnection]) -> None:
+    for entry in entries:
+        await entry.http.close()
