Hold back keys of a copy at VMs that have just started

Cause: a VM that didn't follow the store holds keys back when it comes back from a copy, but only if it had a view before; one that had just started took the keys for confirmed. A VM whose keys were never confirmed told others the age of its view as theirs.

A VM that starts while the store names an era above the first now doubts its keys, too, for the same time, and tells others that they were never confirmed. Other VMs, which it asks first, may confirm them, so that one that starts alone accepts keys at once.

--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -69,6 +69,9 @@
 
 ERA_FIELD = "era"
 KEYS_AGE_FIELD = "keys_age_ms"
+NEVER_CONFIRMED_AGE = Milliseconds(1_000_000_000)
+"""Age of keys that were never confirmed, longer than any key lives."""
+
 SETTINGS_FIELD = "settings"
 PRESENT_FIELD = "present"
 """In a request, that the sender reads the field; in an answer, the keys present at the
@@ -332,7 +335,7 @@
             changed = None
         value: dict[str, Any] = {
             "age_ms": age,
-            KEYS_AGE_FIELD: self._keys_age(age, now),
+            KEYS_AGE_FIELD: self._keys_age(now),
             "in_outage": self._view.in_outage(now),
             "whole": changed is None,
             "position": revision_of(self._table.position),
@@ -355,9 +358,9 @@
                 del row[ERA_FIELD]
         return 200, json.dumps(value | {"entries": rows})
 
-    def _keys_age(self, view_age: Milliseconds, now: Milliseconds) -> Milliseconds:
+    def _keys_age(self, now: Milliseconds) -> Milliseconds:
         keys_age = self._view.keys_age(now)
-        return view_age if keys_age is None else keys_age
+        return NEVER_CONFIRMED_AGE if keys_age is None else keys_age
 
     def _requested_position(self, query: dict[str, str]) -> Position:
         """Return the position of the requesting VM; one of an earlier build has no era.
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -232,6 +232,8 @@
             pause = confirm_interval(
                 self._settings, self._targets.evidence.loads.vm_count
             )
+            if doubt := self._view.doubts_keys_for(self._clock.now()):
+                pause = min(pause, doubt)
             with trio.move_on_after(pause / MS_PER_SECOND):
                 await self._recheck.wait()
 
@@ -313,9 +315,15 @@
         return [fact for fact in facts if isinstance(fact, TargetRecord | TargetGone)]
 
     async def _ask_peer(self, peer: PlatformSource) -> None:
-        """Ask another VM, which may have no view either if all VMs start."""
+        """Ask another VM, which may have no view either if all VMs start.
+
+        It may confirm keys that this VM has from a store that came back from a copy.
+        """
+        started = self._clock.now()
         try:
-            await self._read_changes(peer, NO_WAIT)
+            changes = await self._read_changes(peer, NO_WAIT)
+            if changes.is_last and changes.keys_age is not None:
+                self._view.confirm_keys(Milliseconds(started - changes.keys_age))
         except PlatformUnavailableError as error:
             log_event("vm_not_asked", source=peer.name, detail=str(error))
 
@@ -353,7 +361,7 @@
             self._record_gap(seen_until)
         self._view.confirm(
             Milliseconds(started - age),
-            Milliseconds(started - (age if keys_age is None else keys_age)),
+            None if keys_age is None else Milliseconds(started - keys_age),
         )
         self._targets.record_vm_count(started)
         for target in self._view.forget_gone(started):
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -177,11 +177,12 @@
 
         It lacks what was written since, until that is written again. That includes
         keys taken away which this VM never saw, if it didn't follow the store until the
-        return: its view is older than ``apply_within`` or there was an outage.
+        return: it has just started, its view is older than ``apply_within``, or there
+        was an outage.
         """
         if self._position != START or era > FIRST_ERA:
             age = self.age(now)
-            if age is not None and (age > apply_within or self.in_outage(now)):
+            if age is None or age > apply_within or self.in_outage(now):
                 doubt_time = round(apply_within * LOST_SETTINGS_SHARE)
                 self._keys_doubted_until = Milliseconds(now + doubt_time)
             self._era_began_at = now
@@ -222,15 +223,26 @@
     ) -> None:
         """Record that a call started at ``call_started`` returned the current state.
 
-        Its source may have confirmed the keys earlier, at ``keys_confirmed_at``.
+        Another VM may have confirmed the keys earlier, at ``keys_confirmed_at``. It
+        may have followed the store when it came back from a copy, so that this VM's
+        doubt doesn't concern it.
         """
         if self._confirmed_at is None or call_started > self._confirmed_at:
             self._confirmed_at = call_started
         if keys_confirmed_at is None:
+            if self.doubts_keys_for(call_started):
+                return
             keys_confirmed_at = call_started
-        doubted_until = self._keys_doubted_until
-        if doubted_until is not None and call_started < doubted_until:
-            return
+        self.confirm_keys(keys_confirmed_at)
+
+    def doubts_keys_for(self, now: Milliseconds) -> Milliseconds:
+        """Return after which time the store confirms keys again; 0 if it does now."""
+        if self._keys_doubted_until is None:
+            return Milliseconds(0)
+        return Milliseconds(max(0, self._keys_doubted_until - now))
+
+    def confirm_keys(self, keys_confirmed_at: Milliseconds) -> None:
+        """Record that the keys that this VM has were confirmed at this time."""
         if (
             self._keys_confirmed_at is None
             or keys_confirmed_at > self._keys_confirmed_at
