Send entries of an earlier era to VMs that had not got them

A seed kept the earlier position of entries that the store, back from a copy, had unchanged. A VM that had listed the store before such an entry was written again never got it: the position was below its own. And a change of a long value was sent as a difference to a position that this VM does not know, so that its requests failed.

Entries now have their position of the present era, beside since when they are unchanged. A VM in a state of an earlier era is sent what changed since then; one of the present era, what was written after its state. After a return the first change of a long value is sent whole.

--- a/src/yuccafold/edge/_entries.py
+++ b/src/yuccafold/edge/_entries.py
@@ -71,13 +71,14 @@
 
     Entries may arrive out of order and repeatedly; the highest position wins. Changes
     of an earlier era than the table's are ignored: the store has lost them, or writes
-    them again in its present era. Entries that a later era has unchanged keep their
-    position, so that they are not sent to other VMs again.
+    them again in its present era. Entries that a later era has unchanged are not sent
+    again to VMs that had them in the earlier one.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
         self._earlier_versions: dict[str, deque[Entry]] = {}
+        self._unchanged_since: dict[str, Position] = {}
         self._position = START
         self._forgotten = START
         self._era_ends: dict[StoreEra, Position] = {}
@@ -125,10 +126,16 @@
         Keys that aren't in the list are returned as removed, unless they are newer
         than the list.
         """
-        listed = [entry for entry in entries if not self._is_carried_over(entry)]
+        carried_over = [entry for entry in entries if self._is_carried_over(entry)]
+        known = {entry.key for entry in carried_over}
+        listed = [entry for entry in entries if entry.key not in known]
         missing = self.absent({entry.key for entry in entries}, position)
         if position > self._position:
             self._record_gap(Gap(self._position, position))
+        for entry in carried_over:
+            earlier = self._entries[entry.key].position
+            self._unchanged_since.setdefault(entry.key, earlier)
+            self._entries[entry.key] = entry
         return self._apply([*listed, *missing], position)
 
     def lacks_removals(self, after: Position) -> bool:
@@ -166,7 +173,11 @@
         """
         if after < self._forgotten or not self._has_had(after):
             return None
-        changed = (entry for entry in self._entries.values() if entry.position > after)
+        changed = (
+            entry
+            for entry in self._entries.values()
+            if self._changed_at(entry, era_of(after)) > after
+        )
         return sorted(changed, key=self.sequence)
 
     def sequence(self, entry: Entry) -> Position:
@@ -207,8 +218,23 @@
         entry = self._entries.get(key)
         return [] if entry is None else [entry]
 
+    def _changed_at(self, entry: Entry, era: StoreEra) -> Position:
+        """Return the position of an entry's last change, as of a state of ``era``.
+
+        A VM that had the entry in an earlier era has it unchanged. One that has not may
+        have listed the store of this era before the entry was written again.
+        """
+        if era >= era_of(entry.position):
+            return entry.position
+        return self._unchanged_since.get(entry.key, entry.position)
+
     def _keep_current_version(self, key: str) -> None:
-        """Keep the current version of a long value that is about to change."""
+        """Keep the current version of a long value that is about to change.
+
+        One of an earlier era has another position at VMs that had it then.
+        """
+        if self._unchanged_since.pop(key, None) is not None:
+            return
         for entry in self._current(key):
             if entry.value is not None and len(entry.value) >= LONG_VALUE_BYTES:
                 kept = self._earlier_versions.setdefault(
@@ -243,4 +269,5 @@
         removed.sort(key=lambda entry: entry.position)
         for entry in removed[: len(removed) // 2]:
             del self._entries[entry.key]
+            self._unchanged_since.pop(entry.key, None)
             self._forgotten = max(self._forgotten, entry.position)
