Leave errors that come as events out of resumed streams of the fleet's router

A resumed answer must have the status of the one that began the stream.

router/test_relay.py: before, the test of errors failed (status 400: "oops" was received).

--- a/src/yuccafold/router/_relay.py
+++ b/src/yuccafold/router/_relay.py
@@ -65,6 +65,7 @@
         self._partial_event = b""
         self._has_last_event = False
         self._is_stream = False
+        self._status: int | None = None
         self._stored: StoredAnswer | None = None
         self._caller_left = False
         self._record = VerdictRecord()
@@ -212,8 +213,15 @@
         self, attempt: Exchange, head: h11.Response, headers: Headers
     ) -> None:
         self._partial_event = b""
-        if not self.started:
+        if self._status is None:
+            self._status = head.status_code
             await self._responder.start(head.status_code, headers, True)
+        elif head.status_code != self._status:
+            raise AttemptFailed(
+                Verdict.MAY_HAVE_RUN,
+                FailureKind.MALFORMED,
+                f"resumed with status {head.status_code}",
+            )
         await attempt.relay_body(self._relay_events)
         if self._partial_event or not self._has_last_event:
             raise AttemptFailed(
