--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,199 @@
+"""Streams that break off after their route has moved are taken up by clients.
+
+The route of a resumable stream moves to another service, whose engines run another
+software version. Then half of the machines are killed. Clients whose streams broke off
+take them up with ``Last-Event-Id``. A stream must not hold pieces of both versions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from itertools import groupby
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "support-2"))
+
+from standins import CALL_ERRORS  # noqa: E402
+from standins import Connection  # noqa: E402
+from standins import Engine  # noqa: E402
+from standins import Fleet  # noqa: E402
+from standins import Record  # noqa: E402
+from standins import Store  # noqa: E402
+from standins import chunk  # noqa: E402
+from standins import configuration  # noqa: E402
+from standins import route  # noqa: E402
+from standins import run_case  # noqa: E402
+from standins import start_stream  # noqa: E402
+
+ROUTERS = 4
+KILLED = 2
+STREAMS = 24
+EVENTS = 80
+EVENT_PAUSE_S = 0.1
+DEADLINE_MS = 12_000
+RETRIES = 3
+SERVICES = {"langar-llm": "v1", "langar-llm-next": "v2"}
+HISTORY_S = 12.0
+"""Before the streams: the machines know the targets of this time."""
+
+
+def streaming(engine: Engine):
+    """Return the function that answers with events after the client's last one."""
+
+    async def answer(request, writer):
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        await asyncio.sleep(0.06)
+        writer.write(start_stream(engine, request))
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {engine.version} token {number}\n\n"
+            writer.write(chunk(event.encode()))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        writer.write(chunk(b""))
+
+    return answer
+
+
+def settings(version: int, service: str) -> dict:
+    """Return a configuration whose only route goes to ``service``."""
+    stream = route(
+        "seva-answer",
+        "/seva/",
+        "streaming",
+        service,
+        max_attempts=2,
+        timeout_ms=DEADLINE_MS,
+        target_latency_ms=400,
+        gap_aim_ms=400,
+        resumable=True,
+        sticky_sessions=True,
+    )
+    return configuration(version, [stream], list(SERVICES), ["key-1"])
+
+
+class Client:
+    """Reads one stream, and takes it up at another machine if it breaks off."""
+
+    def __init__(self, number: int, record: Record, fleet: Fleet) -> None:
+        self.number = number
+        self.record = record
+        self.fleet = fleet
+        self.pieces: list[tuple[int, str]] = []
+        self.is_whole = False
+
+    @property
+    def last_id(self) -> int:
+        """The id of the last event."""
+        return self.pieces[-1][0] if self.pieces else 0
+
+    @property
+    def versions(self) -> list[str]:
+        """The software versions of the pieces, in their order."""
+        return [version for version, _ in groupby(text for _, text in self.pieces)]
+
+    async def run(self) -> None:
+        """Make one attempt, and some more until the stream is whole."""
+        began = self.record.now()
+        for attempt in range(RETRIES + 1):
+            left = round(DEADLINE_MS - 1000 * (self.record.now() - began))
+            if left < 100 or self.is_whole:
+                return
+            await asyncio.sleep(await self._attempt(attempt, left))
+
+    async def _router(self, attempt: int):
+        """Return a machine in rotation, another one for each attempt."""
+        while True:
+            for turn in range(ROUTERS):
+                router = self.fleet.routers[(self.number + attempt + turn) % ROUTERS]
+                if await router.is_ready():
+                    return router
+            await asyncio.sleep(0.1)
+
+    async def _attempt(self, attempt: int, left: int) -> float:
+        """Return after which time to try again."""
+        id = f"{self.number:04x}{attempt:04x}"
+        router = await self._router(attempt)
+        connection = Connection(router.port)
+        headers = {
+            "X-Attempt-Id": id,
+            "X-Deadline-Ms": left,
+            "X-Key": "key-1",
+            "X-Model": "m",
+            "X-Token-Counts": "350,100",
+            "X-Prompt-Prefix": f"5c1e07a2:100,{self.number % 7:08x}:200,"
+            f"{self.number + 4096:012x}:50",
+        }
+        if self.pieces:
+            headers["Last-Event-Id"] = self.last_id
+        self.record.write("sent", id=id, router=router.name, after=self.last_id)
+        status, wait = "none", 0.3
+        try:
+            async with asyncio.timeout(left / 1000):
+                await connection.send("POST", "/seva/ask", headers, b"question")
+                status, answer = await connection.head()
+                wait = float(answer.get("retry-after", "0.3"))
+                await self._read(connection, answer, status)
+                self.is_whole = status == 200
+        except CALL_ERRORS as error:
+            status = f"{status} broken-off {type(error).__name__}"
+        finally:
+            connection.close()
+        self.record.write(
+            "answered", id=id, status=status, last=self.last_id, versions=self.versions
+        )
+        return min(wait, left / 3000)
+
+    async def _read(self, connection: Connection, answer, status: int) -> None:
+        data = b""
+        async for piece in connection.pieces(answer):
+            data += piece if status == 200 else b""
+            while b"\n\n" in data:
+                event, data = data.split(b"\n\n", 1)
+                fields = dict(
+                    line.split(": ", 1) for line in event.decode().split("\n")
+                )
+                version = fields["data"].split(" ")[0]
+                self.pieces.append((int(fields["id"]), version))
+
+
+async def case(record: Record, fleet: Fleet, store: Store, trouble: bool) -> bool:
+    """Return whether a stream holds pieces of two versions."""
+    for service, version in SERVICES.items():
+        for number in range(3):
+            engine = Engine(record, f"i-{version}00{number}", service)
+            engine.version = version
+            engine.answer = streaming(engine)
+            await engine.start()
+            store.put(f"servers/{engine.id}", engine.entry())
+    store.put("op/config", settings(1, "langar-llm"))
+    await fleet.start()
+    await asyncio.sleep(HISTORY_S)
+    clients = [Client(number, record, fleet) for number in range(STREAMS)]
+    tasks = [asyncio.create_task(client.run()) for client in clients]
+    await asyncio.sleep(1.0)
+    store.put("op/config", settings(4, "langar-llm-next"))
+    record.write("route_moved", service="langar-llm-next")
+    await asyncio.sleep(2.2)
+    if trouble:
+        killed = fleet.routers[:KILLED]
+        for router in killed:
+            router.kill()
+        await asyncio.sleep(0.5)
+        for router in killed:
+            router.start()
+    await asyncio.gather(*tasks)
+    joined = [client for client in clients if len(client.versions) > 1]
+    for client in joined:
+        record.write(
+            "joined",
+            stream=f"{client.number:04x}",
+            versions=client.versions,
+            whole=client.is_whole,
+        )
+    record.write("streams", all=len(clients), joined=len(joined))
+    return bool(joined)
+
+
+run_case(FOLDER, ROUTERS, case)
