--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,9 @@
-"""Streams that break off after their route has moved are taken up by clients.
+"""Streams break off and are taken up at machines that start after their route moved.
 
-The route of a resumable stream moves to another service, whose engines run another
-software version. Then half of the machines are killed. Clients whose streams broke off
-take them up with ``Last-Event-Id``. A stream must not hold pieces of both versions.
+Half of the machines are killed. While they are down, the route of a resumable stream
+moves to another service, whose engines run another software version. Clients whose
+streams broke off take them up with ``Last-Event-Id``. A stream must not hold pieces of
+both versions.
 """
 
 from __future__ import annotations
@@ -34,9 +35,11 @@
 EVENT_PAUSE_S = 0.1
 DEADLINE_MS = 12_000
 RETRIES = 3
+RETRY_PAUSE_S = 1.0
+"""Between two attempts at least, also if ``Retry-After`` allows a shorter one."""
 SERVICES = {"langar-llm": "v1", "langar-llm-next": "v2"}
-HISTORY_S = 12.0
-"""Before the streams: the machines know the targets of this time."""
+HISTORY_S = 24.0
+"""How long machines ran before: by then they know the targets of the time before."""
 
 
 def streaming(engine: Engine):
@@ -127,13 +130,14 @@
         }
         if self.pieces:
             headers["Last-Event-Id"] = self.last_id
+            headers["Resumes"] = f"{self.number:04x}0000"
         self.record.write("sent", id=id, router=router.name, after=self.last_id)
-        status, wait = "none", 0.3
+        status, wait = "none", RETRY_PAUSE_S
         try:
             async with asyncio.timeout(left / 1000):
                 await connection.send("POST", "/seva/ask", headers, b"question")
                 status, answer = await connection.head()
-                wait = float(answer.get("retry-after", "0.3"))
+                wait = max(wait, float(answer.get("retry-after", "0")))
                 await self._read(connection, answer, status)
                 self.is_whole = status == 200
         except CALL_ERRORS as error:
@@ -172,17 +176,16 @@
     await asyncio.sleep(HISTORY_S)
     clients = [Client(number, record, fleet) for number in range(STREAMS)]
     tasks = [asyncio.create_task(client.run()) for client in clients]
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(3.0)
+    killed = fleet.routers[:KILLED] if trouble else []
+    for router in killed:
+        router.kill()
+    await asyncio.sleep(0.2)
     store.put("op/config", settings(4, "langar-llm-next"))
     record.write("route_moved", service="langar-llm-next")
-    await asyncio.sleep(2.2)
-    if trouble:
-        killed = fleet.routers[:KILLED]
-        for router in killed:
-            router.kill()
-        await asyncio.sleep(0.5)
-        for router in killed:
-            router.start()
+    await asyncio.sleep(0.3)
+    for router in killed:
+        router.start()
     await asyncio.gather(*tasks)
     joined = [client for client in clients if len(client.versions) > 1]
     for client in joined:
