--- a/review/9/case.py
+++ b/review/9/case.py
@@ -157,7 +157,9 @@
             status = f"{status} broken-off {type(error).__name__}"
         finally:
             connection.close()
-        self.record.write("answered", id=id, status=status, last=self.last_id, wait=wait)
+        self.record.write(
+            "answered", id=id, status=status, last=self.last_id, wait=wait
+        )
         return wait
 
     async def _read(self, connection: Connection, answer, status: int) -> None:
--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -507,9 +507,7 @@
 class Fleet:
     """Router processes of which the first three are seeds."""
 
-    def __init__(
-        self, record: Record, store: Store, folder: Path, count: int
-    ) -> None:
+    def __init__(self, record: Record, store: Store, folder: Path, count: int) -> None:
         self.record = record
         self.store = store
         self.folder = folder
