Name the connection of each attempt in the logs

A call that ran although its caller was told that it had not may have been refused by the copy of an earlier answer. The logs named the target of each attempt, not the connection, so they could not tell two attempts on one connection from two on different ones, which is what the hypotheses differ in. call_placed, call_detoured, attempt_failed and answer_skipped name it now.

--- a/src/yuccafold/edge/_detour.py
+++ b/src/yuccafold/edge/_detour.py
@@ -110,6 +110,7 @@
                 call=call.head.id,
                 service=call.service,
                 vm=address,
+                connection=exchange.connection,
                 resume_after=relay.resume_after,
                 left_ms=left,
             )
--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -111,6 +111,7 @@
         self._clock = clock
         self._names_calls = names_calls
         self._http: HttpStream | None = None
+        self._connection: int | None = None
         self._request: h11.Request | None = None
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self._idle_time: Milliseconds | None = None
@@ -126,6 +127,11 @@
         """The target that the call is sent to."""
         return self._target.id
 
+    @property
+    def connection(self) -> int | None:
+        """The number of the connection; ``None`` before there is one."""
+        return self._connection
+
     @property
     def idle_time(self) -> Milliseconds | None:
         """How long the reused connection was idle; ``None`` if it is new."""
@@ -177,11 +183,13 @@
         pooled = await self._pool.take(self._target.address, max_idle_time)
         if pooled is not None:
             self._http = pooled.http
+            self._connection = pooled.http.number
             self._idle_time = Milliseconds(self._pool.idle_ms(pooled))
             return
         try:
             with trio.fail_after(CONNECT_TIMEOUT / MS_PER_SECOND):
                 self._http = await connect(self._target.address)
+                self._connection = self._http.number
         except (OSError, ValueError, trio.TooSlowError) as error:
             raise AttemptFailedError(Failure.UNREACHABLE, repr(error)) from error
 
@@ -229,6 +237,7 @@
                 "answer_skipped",
                 call=self._call.head.id,
                 target=self._target.id,
+                connection=self._connection,
                 answers=facts.call_id,
                 status=event.status_code,
                 not_run=facts.not_run,
--- a/src/yuccafold/edge/_forward.py
+++ b/src/yuccafold/edge/_forward.py
@@ -348,7 +348,7 @@
             await exchange.open(self._max_idle_time(call))
             self._check_target(call, placement)
             self._reach.record_sent(target.service, self._clock.now())
-            self._log_placement(call, placement, exchange.idle_time, relay.resume_after)
+            self._log_placement(call, placement, exchange, relay.resume_after)
             sent_at = self._clock.now()
             await self._send_and_relay(call, placement, exchange, relay, record, race)
             outcome = Outcome.GOOD
@@ -602,7 +602,7 @@
         self,
         call: Call,
         placement: Placement,
-        idle_time: Milliseconds | None,
+        exchange: Exchange,
         resume_after: str | None,
     ) -> None:
         source = placement.fetch_from
@@ -618,7 +618,8 @@
             software=placement.target.record.software,
             resumes=call.head.resumes,
             resume_after=resume_after or call.head.resume_after,
-            rested_ms=idle_time,
+            connection=exchange.connection,
+            rested_ms=exchange.idle_time,
             paused_ms=self._targets.time_paused(
                 placement.target.record, self._clock.now()
             ),
@@ -649,6 +650,7 @@
             failure=failure,
             parts=shown_parts(call),
             detail=str(error),
+            connection=exchange.connection,
             framing=None if framing is None else framing.value,
             body_bytes=exchange.body_bytes,
             answering_ms=exchange.answering_time,
--- a/src/yuccafold/http/_stream.py
+++ b/src/yuccafold/http/_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from itertools import count
 from typing import Any
 from typing import Protocol
 from typing import final
@@ -34,6 +35,9 @@
 )
 
 
+_numbers = count(1)
+
+
 class ByteStream(Protocol):
     """The part of a trio stream that an HTTP connection uses."""
 
@@ -61,6 +65,12 @@
         self._http = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
         self._eof = False
         self._events_in_turn = 0
+        self._number = next(_numbers)
+
+    @property
+    def number(self) -> int:
+        """A number that tells the connections of this process apart in logs."""
+        return self._number
 
     @property
     def protocol(self) -> h11.Connection:
--- a/testing/edge/loopback_edge.py
+++ b/testing/edge/loopback_edge.py
@@ -49,13 +49,13 @@
         self.address = ""
         self._attempts = 0
 
-    async def send(self, method, path, body=b"", *headers, key=KEY):
+    async def send(self, method, path, body=b"", *headers, key=KEY, attempt=None):
         """Send one call on a connection of its own; return the connection."""
-        self._attempts += 1
+        self._attempts += attempt is None
         lines = [
             f"{method} {path} HTTP/1.1",
             "Host: fleet.example",
-            f"X-Attempt-Id: a{self._attempts}",
+            f"X-Attempt-Id: {attempt or f'a{self._attempts}'}",
             f"Content-Length: {len(body)}",
             *([f"X-Key: {key}"] if key else []),
             *headers,
@@ -75,9 +75,11 @@
         head, _, rest = raw.partition(b"\r\n\r\n")
         return int(head.split()[1]), head.decode(), rest
 
-    async def receive(self, method, path, body=b"", *headers):
+    async def receive(self, method, path, body=b"", *headers, attempt=None):
         """Make one call and return its answer as a caller parses it."""
-        stream = await self.send(method, path, body, *headers, "Connection: close")
+        stream = await self.send(
+            method, path, body, *headers, "Connection: close", attempt=attempt
+        )
         async with stream:
             return parse_answer(await read_to_end(stream), method)
 
--- a/testing/edge/test_answer_logs.py
+++ b/testing/edge/test_answer_logs.py
@@ -86,3 +86,19 @@
     assert (failed["framing"], failed["verdict"]) == ("until-close", "may-have-run")
     (ended,) = log.fields("call_ended")
     assert ended["outcome"] == "broken_off_target_failed"
+
+
+def test_log_tells_which_connection_a_call_was_sent_and_refused_on(monkeypatch):
+    log = LogCapture(monkeypatch)
+
+    @on_trio
+    async def run():
+        async with running_edge(target()) as edge:
+            assert (await edge.call("GET", "/book/a"))[0] == 200
+            edge.targets[0].mode = TargetMode.FULL
+            assert (await edge.call("GET", "/book/a"))[0] == 503
+
+    run()
+    first, second = log.fields("call_placed")
+    (refused,) = log.fields("attempt_failed")
+    assert first["connection"] == second["connection"] == refused["connection"]
