Never send a call again on a connection on which it has failed

Callers were told that a call had not run (503) while a target ran it, and with another attempt left it ran at a second target.

Cause: an answer is known by the call's id alone, which holds only while a connection carries an id once. The pool knew no calls, so a call that was refused could get the same connection for its next attempt: where a target starts again under a new id at its address, and the old entry is still listed, or where the same id comes to the VM again. The copy of the refusal then was the answer to the attempt that ran. The same holds for copies of server errors and of streams that broke off.

A kept connection now remembers the calls that failed on it, and the pool passes over it for these; other calls still get it, so refusals cost no new connections. A call that succeeded isn't sent again. Whole answers below 400 count as success, so that the rule needs to know no kinds of refusal.

--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -12,6 +12,7 @@
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import CallId
 from yuccafold._ids import TargetId
 from yuccafold._log import log_event
 from yuccafold.edge._attempts import Failure
@@ -65,6 +66,7 @@
 """How long the body of a rejected answer is read; after that, the connection is closed
 instead of reused."""
 
+FIRST_CLIENT_ERROR = 400
 MISDIRECTED_REQUEST_STATUS = 421
 
 UNAVAILABLE_STATUS = 503
@@ -117,6 +119,9 @@
         self._idle_time: Milliseconds | None = None
         self._framing: Framing | None = None
         self._facts: AnswerFacts | None = None
+        self._failed_calls: frozenset[CallId] = frozenset()
+        self._is_error = False
+        self._has_succeeded = False
         self._is_receiving = False
         self._received_at = clock.now()
         self._body_bytes = 0
@@ -180,9 +185,12 @@
 
         ``None`` allows any idle time.
         """
-        pooled = await self._pool.take(self._target.address, max_idle_time)
+        pooled = await self._pool.take(
+            self._target.address, self._call.head.id, max_idle_time
+        )
         if pooled is not None:
             self._http = pooled.http
+            self._failed_calls = pooled.failed_calls
             self._connection = pooled.http.number
             self._idle_time = Milliseconds(self._pool.idle_ms(pooled))
             return
@@ -231,6 +239,7 @@
             facts = read_facts(self._translator, event)
             if self._is_own(facts):
                 self._facts = facts
+                self._is_error = event.status_code >= FIRST_CLIENT_ERROR
                 self._framing = framing_of(self._call.method, event)
                 break
             log_event(
@@ -280,6 +289,7 @@
 
     def mark_complete(self) -> None:
         """Record that the answer is whole, which its framing alone may not tell."""
+        self._has_succeeded = not self._is_error
         self._record.mark_complete()
 
     async def close(self) -> None:
@@ -299,7 +309,12 @@
             await http.close()
             return
         state.start_next_cycle()
-        await self._pool.put(self._target.address, http, Milliseconds(keep_for))
+        failed_calls = self._failed_calls
+        if not self._has_succeeded:
+            failed_calls |= {self._call.head.id}
+        await self._pool.put(
+            self._target.address, http, Milliseconds(keep_for), failed_calls
+        )
 
     async def _discard_body(self) -> None:
         with trio.move_on_after(DISCARD_TIMEOUT / MS_PER_SECOND):
--- a/src/yuccafold/http/_pool.py
+++ b/src/yuccafold/http/_pool.py
@@ -10,6 +10,7 @@
 
 from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import CallId
 from yuccafold.http._stream import HttpStream
 
 MAX_IDLE_PER_ADDRESS = 64
@@ -18,15 +19,23 @@
 DEFAULT_MAX_IDLE = Milliseconds(20_000)
 """How long a connection is kept idle if its target states no timeout."""
 
+MAX_FAILED_CALLS = 16
+"""Calls that may have failed on a connection that is kept, as their ids take memory."""
+
 
 @final
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class IdleConnection:
-    """A clean idle connection, which is not reused after ``expires_at``."""
+    """A clean idle connection, which is not reused after ``expires_at``.
+
+    ``failed_calls`` were sent on it without success. It carries none of them again: a
+    copy of the earlier answer would look like that to the later attempt.
+    """
 
     http: HttpStream
     idle_since: Milliseconds
     expires_at: Milliseconds
+    failed_calls: frozenset[CallId]
 
 
 @final
@@ -50,27 +59,32 @@
             self._max_idle[address] = min(connections, MAX_IDLE_PER_ADDRESS)
 
     async def take(
-        self, address: str, max_idle: Milliseconds | None = None
+        self, address: str, call: CallId, max_idle: Milliseconds | None = None
     ) -> IdleConnection | None:
-        """Remove and return a usable idle connection, or ``None``.
+        """Remove and return an idle connection that can carry ``call``, or ``None``.
 
         The most recently used one is returned, but not if it was idle for longer
         than ``max_idle``. Unusable ones are closed.
         """
-        usable, unusable = self._pop(address, max_idle)
+        usable, unusable = self._pop(address, call, max_idle)
         await _close(unusable)
         return usable
 
     def _pop(
-        self, address: str, max_idle: Milliseconds | None
+        self, address: str, call: CallId, max_idle: Milliseconds | None
     ) -> tuple[IdleConnection | None, list[IdleConnection]]:
-        """Remove connections up to a usable one; return that and the unusable ones."""
+        """Remove connections up to a usable one; return that and the unusable ones.
+
+        Those on which ``call`` has failed stay for other calls.
+        """
         idle = self._idle.get(address, deque())
         unusable: list[IdleConnection] = []
-        while idle:
-            if max_idle is not None and self.idle_ms(idle[-1]) > max_idle:
+        for entry in tuple(reversed(idle)):
+            if max_idle is not None and self.idle_ms(entry) > max_idle:
                 break
-            entry = idle.pop()
+            if call in entry.failed_calls:
+                continue
+            idle.remove(entry)
             if self._clock.now() <= entry.expires_at and entry.http.is_clean():
                 return entry, unusable
             unusable.append(entry)
@@ -81,17 +95,23 @@
         return self._clock.now() - entry.idle_since
 
     async def put(
-        self, address: str, http: HttpStream, keep: Milliseconds = DEFAULT_MAX_IDLE
+        self,
+        address: str,
+        http: HttpStream,
+        keep: Milliseconds = DEFAULT_MAX_IDLE,
+        failed_calls: frozenset[CallId] = frozenset(),
     ) -> None:
         """Keep a clean connection for up to ``keep``.
 
-        It is closed instead if it is not clean or too many are kept already.
+        It is closed instead if it is not clean, too many are kept already, or too many
+        calls have failed on it.
         """
         idle = self._idle.setdefault(address, deque())
-        max_idle = self._max_idle.get(address, MAX_IDLE_PER_ADDRESS)
-        if http.is_clean() and len(idle) < max_idle:
+        has_room = len(idle) < self._max_idle.get(address, MAX_IDLE_PER_ADDRESS)
+        if has_room and len(failed_calls) <= MAX_FAILED_CALLS and http.is_clean():
             now = self._clock.now()
-            idle.append(IdleConnection(http, now, Milliseconds(now + keep)))
+            expires_at = Milliseconds(now + keep)
+            idle.append(IdleConnection(http, now, expires_at, failed_calls))
         else:
             await http.close()
 
--- a/src/yuccafold/router/_upstream.py
+++ b/src/yuccafold/router/_upstream.py
@@ -131,7 +131,7 @@
         After a long idle time it may be stale: it is then used only with
         ``Expect: 100-continue``, and otherwise closed.
         """
-        entry = await self._pool.take(address)
+        entry = await self._pool.take(address, self._call.id)
         if entry is None:
             return
         limit = self._call.policy.doubt_after_idle_ms
--- a/testing/edge/test_copied_refusals.py
+++ b/testing/edge/test_copied_refusals.py
@@ -20,6 +20,7 @@
 from edge.test_second_copies import ATTEMPT
 from edge.test_second_copies import CopyingTarget
 from support.loopback import on_trio
+from yuccafold.http._pool import MAX_FAILED_CALLS
 
 ROUNDS = 8
 LATE_S = 0.03
@@ -180,12 +181,12 @@
     def __init__(self, moment):
         super().__init__("t1", moment)
         self._refusals = cycle(REFUSALS.values())
-        self._asked = set()
+        self.asked = set()
 
     async def _first_answer(self, attempt, expected):
-        if attempt in self._asked or not attempt.startswith(b"repeated"):
+        if attempt in self.asked or not attempt.startswith(b"repeated"):
             return None
-        self._asked.add(attempt)
+        self.asked.add(attempt)
         return next(self._refusals)
 
 
@@ -269,3 +270,17 @@
                 check_answer(answer, full.runs.count(attempt.encode()))
 
     run()
+
+
+@on_trio
+async def test_connection_of_a_refused_call_carries_the_next_one():
+    full = FullAtFirst("before-the-answer")
+    async with running_edge(full, routes=ROUTES) as edge:
+        for number in range(MAX_FAILED_CALLS):
+            attempt = f"repeated-{number}"
+            while attempt.encode() not in full.asked:
+                refused = await edge.receive("GET", UNSAFE, attempt=attempt)
+            assert refused.status == 503
+            while (await edge.receive("GET", UNSAFE)).status != 200:
+                await trio.sleep(LATE_S)
+    assert full.connections == 1
--- a/testing/http/test_pool.py
+++ b/testing/http/test_pool.py
@@ -1,7 +1,8 @@
 """The pool of idle connections while several tasks use it.
 
 Guards against a connection that is in use and in the pool at once: the next task takes
-it for spoiled, and closes it under the call that waits for its answer there.
+it for spoiled, and closes it under the call that waits for its answer there. Guards as
+well against a connection that carries a call which failed on it once more.
 """
 
 from __future__ import annotations
@@ -12,8 +13,11 @@
 import trio
 from trio.testing import MockClock
 
+from support.loopback import on_trio
 from yuccafold._clock import Milliseconds
+from yuccafold._ids import CallId
 from yuccafold.http import ConnectionPool
+from yuccafold.http._pool import MAX_FAILED_CALLS
 
 ADDRESSES = ("10.0.0.1:80", "10.0.0.2:80")
 KEPT_FOR = Milliseconds(300)
@@ -47,7 +51,7 @@
 async def use_connections(pool, address, connections, rng, done_at):
     """Take a connection or open one, use it, and return it, again and again."""
     while trio.current_time() < done_at:
-        entry = await pool.take(address)
+        entry = await pool.take(address, CallId("c1"))
         connection = Connection() if entry is None else entry.http
         connections.append(connection)
         assert connection.is_open
@@ -94,3 +98,29 @@
         assert not any(each.is_open for each in connections)
 
     trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+async def pool_with(*failed_calls):
+    """Return a pool with a connection for each set of calls, and the connections."""
+    pool = ConnectionPool(TrioClock())
+    connections = [Connection() for _ in failed_calls]
+    for connection, calls in zip(connections, failed_calls, strict=True):
+        await pool.put(ADDRESSES[0], connection, KEPT_FOR, frozenset(calls))
+    return pool, connections
+
+
+@on_trio
+async def test_call_gets_no_connection_on_which_it_failed():
+    pool, (first, second, third) = await pool_with({"c3"}, {"c2"}, {"c1", "c2"})
+    assert (await pool.take(ADDRESSES[0], "c2")).http is first
+    assert await pool.take(ADDRESSES[0], "c2") is None
+    assert (await pool.take(ADDRESSES[0], "c1")).http is second
+    assert (await pool.take(ADDRESSES[0], "c3")).http is third
+
+
+@on_trio
+async def test_connection_on_which_too_many_calls_failed_is_closed():
+    calls = [f"c{number}" for number in range(MAX_FAILED_CALLS + 1)]
+    pool, (kept, closed) = await pool_with(calls[1:], calls)
+    assert (kept.is_open, closed.is_open) == (True, False)
+    assert (await pool.take(ADDRESSES[0], "c0")).http is kept
