Go on skipping a copied answer after the answer timeout

A caller got 502 for a call that had run once and was answered 200.

Cause: receive_head() is cancelled when the answer is late, and is called again if no other target may be tried. If it was inside the body of an answer to an earlier call, the second call met the rest of that body, which it took for the end of the connection.

The exchange now knows that it is skipping an answer, and the second call goes on there.

Before: one of the two cases of test_interrupted_skips.py failed, with 502. Now both pass.

--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -122,6 +122,7 @@
         self._failed_calls: frozenset[CallId] = frozenset()
         self._is_error = False
         self._has_succeeded = False
+        self._is_skipping = False
         self._is_receiving = False
         self._received_at = clock.now()
         self._body_bytes = 0
@@ -229,7 +230,12 @@
             raise AttemptFailedError(Failure.BROKEN, repr(error)) from error
 
     async def receive_head(self) -> tuple[h11.Response, AnswerFacts]:
-        """Return the head of this call's answer, skipping answers to earlier calls."""
+        """Return the head of this call's answer, skipping answers to earlier calls.
+
+        If it is cancelled, it can be called again and goes on from there.
+        """
+        if self._is_skipping:
+            await self._skip_foreign_answer()
         for _ in range(MAX_SKIPPED_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -337,6 +343,7 @@
         The parser expects one answer per request. So it is replaced by a new one that
         has seen this call's request, and gets the bytes that were not parsed yet.
         """
+        self._is_skipping = True
         skipped_bytes = 0
         while isinstance(event := await self._next_event(), h11.Data):
             skipped_bytes += len(event.data)
@@ -357,6 +364,7 @@
         if unread:
             connection.receive_data(unread)
         http.replace_protocol(connection)
+        self._is_skipping = False
 
     async def _next_event(self) -> object:
         self._is_receiving = True
