Keep no connection whose answer to HEAD states a length

What callers saw: the copy of an answer to HEAD came before the next answer on a kept connection; the call that ran there got 502.

Cause: a copy is parsed like an answer to the call under way, so the length that an answer to HEAD states was taken for a body, and that many bytes of the next answer with it. Which method the copy belongs to can't be told on that connection any more. So it is closed after such an answer, which costs a connection for each HEAD whose answer states a length.

A wording in the pool is made clearer.

--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -67,6 +67,8 @@
 instead of reused."""
 
 FIRST_CLIENT_ERROR = 400
+BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 MISDIRECTED_REQUEST_STATUS = 421
 
 UNAVAILABLE_STATUS = 503
@@ -123,6 +125,7 @@
         self._is_error = False
         self._has_succeeded = False
         self._is_skipping = False
+        self._states_absent_body = False
         self._is_receiving = False
         self._received_at = clock.now()
         self._body_bytes = 0
@@ -247,6 +250,9 @@
                 self._facts = facts
                 self._is_error = event.status_code >= FIRST_CLIENT_ERROR
                 self._framing = framing_of(self._call.method, event)
+                self._states_absent_body = self._framing is Framing.NO_BODY and any(
+                    name in BODY_HEADERS for name, _ in event.headers
+                )
                 break
             log_event(
                 "answer_skipped",
@@ -311,6 +317,8 @@
             self._facts is not None and self._facts.call_id is not None
         )
         is_kept = is_complete and is_named and not is_leaving and keep_for > 0
+        # A copy of an answer to HEAD would take that length from the next answer.
+        is_kept = is_kept and not self._states_absent_body
         if not is_kept or state.trailing_data[0]:
             await http.close()
             return
--- a/src/yuccafold/http/_pool.py
+++ b/src/yuccafold/http/_pool.py
@@ -29,7 +29,7 @@
     """A clean idle connection, which is not reused after ``expires_at``.
 
     ``failed_calls`` were sent on it without success. It carries none of them again: a
-    copy of the earlier answer would look like that to the later attempt.
+    copy of the earlier answer would be taken for that of the later attempt.
     """
 
     http: HttpStream
