--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -67,6 +67,8 @@
 instead of reused."""
 
 FIRST_CLIENT_ERROR = 400
+BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 MISDIRECTED_REQUEST_STATUS = 421
 
 UNAVAILABLE_STATUS = 503
@@ -122,6 +124,8 @@
         self._failed_calls: frozenset[CallId] = frozenset()
         self._is_error = False
         self._has_succeeded = False
+        self._is_skipping = False
+        self._states_absent_body = False
         self._is_receiving = False
         self._received_at = clock.now()
         self._body_bytes = 0
@@ -229,7 +233,12 @@
             raise AttemptFailedError(Failure.BROKEN, repr(error)) from error
 
     async def receive_head(self) -> tuple[h11.Response, AnswerFacts]:
-        """Return the head of this call's answer, skipping answers to earlier calls."""
+        """Return the head of this call's answer, skipping answers to earlier calls.
+
+        If it is cancelled, it can be called again and goes on from there.
+        """
+        if self._is_skipping:
+            await self._skip_foreign_answer()
         for _ in range(MAX_SKIPPED_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -241,6 +250,9 @@
                 self._facts = facts
                 self._is_error = event.status_code >= FIRST_CLIENT_ERROR
                 self._framing = framing_of(self._call.method, event)
+                self._states_absent_body = self._framing is Framing.NO_BODY and any(
+                    name in BODY_HEADERS for name, _ in event.headers
+                )
                 break
             log_event(
                 "answer_skipped",
@@ -305,6 +317,8 @@
             self._facts is not None and self._facts.call_id is not None
         )
         is_kept = is_complete and is_named and not is_leaving and keep_for > 0
+        # A copy of an answer to HEAD would take that length from the next answer.
+        is_kept = is_kept and not self._states_absent_body
         if not is_kept or state.trailing_data[0]:
             await http.close()
             return
@@ -337,6 +351,7 @@
         The parser expects one answer per request. So it is replaced by a new one that
         has seen this call's request, and gets the bytes that were not parsed yet.
         """
+        self._is_skipping = True
         skipped_bytes = 0
         while isinstance(event := await self._next_event(), h11.Data):
             skipped_bytes += len(event.data)
@@ -357,6 +372,7 @@
         if unread:
             connection.receive_data(unread)
         http.replace_protocol(connection)
+        self._is_skipping = False
 
     async def _next_event(self) -> object:
         self._is_receiving = True
