--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -5,7 +5,8 @@
 passes no test, but reports no failures.
 
 The tests that play fleets without a network take a core each; those of real processes
-mostly wait. So parts of the suite run side by side.
+mostly wait. So parts of the suite run side by side. Crowds of clients run alone, after
+all others.
 """
 
 from __future__ import annotations
@@ -22,13 +23,14 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 EDGE = "testing/edge"
 PLAYS = (f"{EDGE}/sharing", f"{EDGE}/plain", f"{EDGE}/work")
+CROWDS = f"{EDGE}/crowds"
 PYTEST_RUNS = (
     ("pytest", *PLAYS[:1]),
     ("pytest", *PLAYS[1:]),
-    ("pytest", EDGE, *(f"--ignore={folder}" for folder in PLAYS)),
+    ("pytest", EDGE, *(f"--ignore={folder}" for folder in (*PLAYS, CROWDS))),
     ("pytest", "testing", f"--ignore={EDGE}"),
 )
-"""Runs of pytest side by side, which have each test once."""
+"""Runs of pytest side by side, which have each test but those of crowds once."""
 
 
 @dataclass(frozen=True)
@@ -94,6 +96,7 @@
             check("ruff", "check", *CODE),
             *runs.map(lambda command: pytest(*command), PYTEST_RUNS),
             behave(),
+            pytest("pytest", CROWDS),
         )
     passed = sum(tally.passed for tally in tallies)
     failed = sum(tally.failed for tally in tallies)
