Parse bodies in many small chunks by turns

What callers saw: beside 200 clients with bodies in chunks of a byte, none of 83 ordinary calls was answered in 2 s nor one afterwards; the process hung for minutes and needed a second signal to stop.

Cause: a connection let other tasks run after 64 events (some 2 ms), but each of N connections did so: between two steps of any other task lay N times 64 events. A call takes some 15 steps.

Now the connections of a process take turns in order: all of them together parse as much between two steps of the others as one does. For callers the count goes on over reads, as tiny segments cost as much as tiny chunks, and begins anew with each request; for answers of targets it counts only what is ahead of the parser, as streams have any number of small events. Callers' bytes are read 16 KiB at a time, and pipelined ones up to as many, as each connection may hold them unparsed.

test_crowd_of_bodies_in_chunks_of_a_byte_takes_turns fails on the code before: 20 bodies parsed over twice a turn's events between two steps.

--- a/src/yuccafold/http/_served.py
+++ b/src/yuccafold/http/_served.py
@@ -11,7 +11,7 @@
 from yuccafold.http._head import CallerGone
 from yuccafold.http._stream import HttpStream
 
-MAX_PIPELINED_BYTES = 65_536
+MAX_PIPELINED_BYTES = 16_384
 """Limit on bytes of pipelined calls that are read while a call is answered."""
 
 
@@ -25,7 +25,7 @@
         """Serve calls until the connection ends, then close it."""
         try:
             while await self._serve_one():
-                self._http.protocol.start_next_cycle()
+                self._http.start_next_cycle()
         except (CallerGone, OSError, trio.BrokenResourceError):
             return
         finally:
@@ -42,9 +42,9 @@
 
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel ``scope`` when the caller closes its connection."""
-        while len(self._http.protocol.trailing_data[0]) < MAX_PIPELINED_BYTES:
+        while (unparsed := self._http.unparsed_bytes) < MAX_PIPELINED_BYTES:
             try:
-                alive = await self._http.receive()
+                alive = await self._http.receive(MAX_PIPELINED_BYTES - unparsed)
             except (OSError, trio.BrokenResourceError):
                 alive = False
             if not alive:
--- a/src/yuccafold/http/_stream.py
+++ b/src/yuccafold/http/_stream.py
@@ -13,10 +13,16 @@
 
 READ_BYTES = 65_536
 
+CALLER_READ_BYTES = 16_384
+"""Bytes that are received from a caller at once: its connection may hold so many that
+are not parsed yet, and there are far more callers than targets."""
+
 EVENTS_PER_TURN = 64
 """Events that are parsed before other tasks run. One read may hold over ten thousand,
 if a body comes in chunks of a byte, and each takes some 30 us."""
 
+_parsing_turn: trio.lowlevel.RunVar[trio.Lock] = trio.lowlevel.RunVar("parsing_turn")
+
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
 
@@ -56,12 +62,19 @@
 
 @final
 class HttpStream:
-    """A trio stream with the ``h11`` protocol state of one side of the connection."""
+    """A trio stream with the ``h11`` protocol state of one side of the connection.
+
+    Parsing many small events takes turns: all connections together parse as many
+    between two steps of the other tasks as a single one does. Those of an answer count
+    only while it is ahead of the parser, as a stream may have any number of them.
+    """
 
     def __init__(
         self, stream: Any, role: type[h11.Sentinel], max_head_bytes: int
     ) -> None:
         self._stream = stream
+        self._is_client = role is h11.CLIENT
+        self._read_bytes = READ_BYTES if self._is_client else CALLER_READ_BYTES
         self._http = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
         self._eof = False
         self._events_in_turn = 0
@@ -77,6 +90,11 @@
         """The ``h11`` protocol state."""
         return self._http
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """How many bytes were received and not parsed yet."""
+        return len(self._http.trailing_data[0])
+
     @property
     def eof(self) -> bool:
         """Whether the other side has closed its sending direction."""
@@ -87,29 +105,47 @@
         self._http = connection
 
     async def next_event(self) -> Any:
-        """Return the next ``h11`` event, reading from the stream as needed.
+        """Return the next ``h11`` event, reading from the stream as needed."""
+        while (event := await self.parse()) is h11.NEED_DATA:
+            await self.receive()
+        return event
+
+    async def parse(self) -> Any:
+        """Return the next event of what was received, or ``h11.NEED_DATA``.
 
         Other tasks run now and then, also if no bytes have to be waited for.
         """
         if self._events_in_turn >= EVENTS_PER_TURN:
+            await _take_turn()
             self._events_in_turn = 0
-            await trio.lowlevel.checkpoint()
         self._events_in_turn += 1
-        while True:
-            event = self._http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            await self.receive()
+        return self._http.next_event()
 
-    async def receive(self) -> bool:
-        """Receive bytes into the protocol state; return ``False`` at the end."""
-        data = await self._stream.receive_some(READ_BYTES)
+    def start_next_cycle(self) -> None:
+        """Expect the next request on the connection."""
+        self._http.start_next_cycle()
         self._events_in_turn = 0
+
+    async def receive(self, max_bytes: int | None = None) -> bool:
+        """Receive bytes into the protocol state; return ``False`` at the end."""
+        data = await self._stream.receive_some(max_bytes or self._read_bytes)
+        if self._is_client:
+            self._events_in_turn = 0
         self._http.receive_data(data)
         if not data:
             self._eof = True
         return bool(data)
 
+    async def discard_rest(self, seconds: float) -> None:
+        """End the sending side, and drop what still comes for so long.
+
+        If a connection is closed while bytes come, its other side may lose the answer.
+        """
+        with trio.move_on_after(seconds):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(READ_BYTES):
+                pass
+
     async def send(self, *events: Any) -> None:
         """Send ``events`` in one write."""
         data = b"".join(self._http.send(event) or b"" for event in events)
@@ -144,6 +180,16 @@
                 await trio.aclose_forcefully(self._stream)
 
 
+async def _take_turn() -> None:
+    """Wait for a turn to parse; tasks that wait for theirs get it in order."""
+    turn = _parsing_turn.get(None)
+    if turn is None:
+        turn = trio.Lock()
+        _parsing_turn.set(turn)
+    async with turn:
+        await trio.lowlevel.checkpoint()
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return ``headers`` without the hop-by-hop ones."""
     connection_options = {
