Bound what the requests of all callers hold in sum

What callers saw: clients with bodies just short of their end, over the limit or of any kind ended a process, which ran out of memory.

Cause: bodies and heads were bounded for each connection, and 1,800 of these may be open. The whole body was read before anything was known of route and key; a head of many short lines, parsed, takes fifty times its bytes; a body was copied to be sent.

Package intake counts what each request holds, from its first byte to the end of its answer. Past the limit (a fifth of the VM's memory, or callers.memory_mb) it ends the unfinished request of more than 16 KiB whose caller has been silent for longest: 503 with Retry-After, as it has not run, and its connection closes. A request that is the only one of that size is always read, so a single one inside the limits is served in calm; no time is set for a body. A body of more than 16 KiB is read on only if no body could make the request inadmissible, and none whose announced length is over the limit. What an unfinished head or trailer may hold follows the operator's limit for heads, not the parser's. Callers of a refused body get a second to read the answer, as a close while bytes come would reset it.

--- a/src/yuccafold/edge/_attempts.py
+++ b/src/yuccafold/edge/_attempts.py
@@ -268,6 +268,13 @@
     return Refusal(503, "stopping", reason, Verdict.NOT_RUN, wait)
 
 
+def overloaded(rng: random.Random) -> Refusal:
+    """Return the answer to a request that the VM has no memory to read."""
+    wait = with_jitter(RETRY_LATER, rng)
+    reason = "the VM has no memory left for the request"
+    return Refusal(503, "overloaded", reason, Verdict.NOT_RUN, wait)
+
+
 def with_jitter(wait: Milliseconds, rng: random.Random) -> Milliseconds:
     """Return ``wait`` with a jitter of 25 % either way.
 
--- a/src/yuccafold/edge/_call.py
+++ b/src/yuccafold/edge/_call.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from result import Err
+from result import Result
 
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import ServiceId
@@ -76,9 +77,7 @@
 
     ``choose_service`` returns the one of the route's services that the call goes to.
     """
-    host = (first_value(headers, b"host") or "").partition(":")[0].lower()
-    path = target.partition(QUERY_SEPARATOR)[0].decode("latin-1")
-    admitted = gate.admit(host, path, head.api_key, arrived_at, head.deadline)
+    admitted = admit_head(head, target, headers, gate, arrived_at)
     if isinstance(admitted, Err):
         return admitted.err_value
     route = admitted.ok_value.route
@@ -96,6 +95,15 @@
     )
 
 
+def admit_head(
+    head: CallHead, target: bytes, headers: Headers, gate: Gate, now: Milliseconds
+) -> Result[Admitted, Refusal]:
+    """Return the route and account of a call, or why it is refused with any body."""
+    host = (first_value(headers, b"host") or "").partition(":")[0].lower()
+    path = target.partition(QUERY_SEPARATOR)[0].decode("latin-1")
+    return gate.admit(host, path, head.api_key, now, head.deadline)
+
+
 class RunRecord:
     """Whether a call may have run, over all of its attempts."""
 
--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -8,6 +8,7 @@
 
 import h11
 import trio
+from result import Err
 
 from yuccafold._clock import MS_PER_SECOND
 from yuccafold._clock import Clock
@@ -15,8 +16,10 @@
 from yuccafold._log import log_event
 from yuccafold._verdict import Refusal
 from yuccafold._verdict import Verdict
+from yuccafold.edge._attempts import overloaded
 from yuccafold.edge._attempts import stopping
 from yuccafold.edge._call import Call
+from yuccafold.edge._call import admit_head
 from yuccafold.edge._call import receive_call
 from yuccafold.edge._forward import EdgeForwarder
 from yuccafold.edge._gate import Gate
@@ -27,12 +30,26 @@
 from yuccafold.http import CallerGone
 from yuccafold.http import Headers
 from yuccafold.http import ServedConnection
+from yuccafold.http import first_value
 from yuccafold.http import head_fault
+from yuccafold.intake import SMALL_REQUEST
+from yuccafold.intake import EndReason
+from yuccafold.intake import Intake
 
 MAX_HEAD_BYTES = 131_072
 """Head size at which the parser gives up. The operator's limit, which is lower, is
 checked in ``EdgeCaller._check_head``."""
 
+HEAD_SLACK_BYTES = 4_096
+"""Bytes by which an unfinished head may exceed the limit: methods, versions, spaces and
+line ends don't count for it."""
+
+HEADER_OVERHEAD = 256
+"""Bytes that a header field holds in memory beside its name and value."""
+
+DISCARD_TIME = Milliseconds(1_000)
+"""How long a caller that sends a request which was refused may take to read that."""
+
 
 class CallerState(Protocol):
     """The state of the router process that its connections use."""
@@ -66,6 +83,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: EdgeMetrics,
+        intake: Intake,
     ) -> None:
         super().__init__(stream, MAX_HEAD_BYTES)
         self._state = state
@@ -75,13 +93,35 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
-        self._idle_scope = trio.CancelScope()
+        self._intake = intake
+        self._share = intake.open(self._stop_waiting, clock.now())
+        self._wait_scope = trio.CancelScope()
         self._idle = True
 
     def close_if_idle(self) -> None:
         """Close the connection unless a call is being read or answered."""
         if self._idle:
-            self._idle_scope.cancel()
+            self._wait_scope.cancel()
+
+    async def run(self) -> None:
+        """Serve calls until the connection ends, then close it."""
+        try:
+            await super().run()
+        finally:
+            self._intake.close(self._share)
+
+    def _stop_waiting(self) -> None:
+        """Stop waiting for the caller, as the intake asks for it."""
+        share = self._share
+        if share.end_reason is not None:
+            self._metrics.count("connections_ended", reason=share.end_reason.value)
+            log_event(
+                "connection_ended",
+                reason=share.end_reason.value,
+                held_bytes=share.held,
+                silent_ms=self._clock.now() - (share.silent_since or 0),
+            )
+        self._wait_scope.cancel()
 
     async def _serve_one(self) -> bool:
         """Serve one call; return whether the connection may serve another."""
@@ -97,25 +137,39 @@
     async def _read_head(self) -> h11.Request | None:
         """Return the next request, or ``None`` if the caller closes or times out."""
         limits = self._state.limits
-        self._idle = not self._http.protocol.trailing_data[0]
-        self._idle_scope = trio.CancelScope(
+        self._idle = not self._http.unparsed_bytes
+        self._wait_scope = trio.CancelScope(
             relative_deadline=limits.idle_timeout / MS_PER_SECOND
         )
-        event = self._http.protocol.next_event()
-        with self._idle_scope:
-            while event is h11.NEED_DATA:
-                if not await self._http.receive():
+        with self._wait_scope:
+            while (event := await self._http.parse()) is h11.NEED_DATA:
+                if not await self._receive():
                     return None
                 if self._idle:
                     # The head has begun, so its timeout replaces the idle timeout.
                     self._idle = False
-                    self._idle_scope.relative_deadline = (
+                    self._wait_scope.relative_deadline = (
                         limits.head_timeout / MS_PER_SECOND
                     )
-                event = self._http.protocol.next_event()
+        if self._wait_scope.cancelled_caught:
+            return None
         self._idle = False
         return event if isinstance(event, h11.Request) else None
 
+    async def _receive(self, parsed_bytes: int = 0) -> bool:
+        """Receive more of a request, of which so many bytes are parsed and held.
+
+        Return ``False`` if the caller has closed its sending side.
+        """
+        unparsed_bytes = self._http.unparsed_bytes
+        limit = self._state.limits.max_head
+        if unparsed_bytes > limit + HEAD_SLACK_BYTES:
+            reason = f"expected at most {limit} bytes of headers or trailers"
+            raise h11.RemoteProtocolError(reason, error_status_hint=431)
+        held = parsed_bytes + unparsed_bytes
+        self._intake.hold(self._share, held, self._clock.now())
+        return await self._http.receive()
+
     async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
         if self._http.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -136,16 +190,30 @@
         refusal = self._check_head(request, headers)
         if refusal is not None:
             return await self._refuse(None, refusal, responder)
-        body = await self._read_body()
-        if body is None:
-            limit = self._state.limits.max_body
-            refusal = Refusal(
-                413,
-                "body_too_large",
-                f"expected at most {limit} bytes",
-                Verdict.NOT_RUN,
-            )
-            return await self._refuse(None, refusal, responder)
+        head_bytes = _memory_of(headers)
+        body = await self._read_body(request, headers, head_bytes)
+        if not isinstance(body, Refusal):
+            held = head_bytes + len(body)
+            self._intake.hold(self._share, held, self._clock.now())
+            if self._share.end_reason is not None:
+                body = overloaded(self._rng)
+        if isinstance(body, Refusal):
+            await self._refuse_unread(headers, body, responder)
+            return False
+        self._intake.begin_call(self._share)
+        try:
+            return await self._answer(request, headers, body, responder)
+        finally:
+            self._intake.end_call(self._share, self._clock.now())
+
+    async def _answer(
+        self,
+        request: h11.Request,
+        headers: Headers,
+        body: bytes,
+        responder: EdgeResponder,
+    ) -> bool:
+        """Admit and forward a whole request, or refuse it."""
         arrived_at = self._clock.now()
         try:
             call = self._admit(request, headers, body, arrived_at)
@@ -169,21 +237,53 @@
             return Refusal(431, "head_too_large", reason, Verdict.NOT_RUN)
         return None
 
-    async def _read_body(self) -> bytes | None:
-        """Return the whole body, or ``None`` if it is over the limit."""
+    async def _read_body(
+        self, request: h11.Request, headers: Headers, head_bytes: int
+    ) -> bytes | Refusal:
+        """Return the whole body, or why it isn't read to its end.
+
+        That is also the case if the request is not admissible, unless it is small: then
+        reading it on keeps the connection.
+        """
+        limit = self._state.limits.max_body
+        if _announced_length(headers) > limit:
+            return _too_large(limit)
         if self._http.protocol.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self._http.send(continue_response)
         body = bytearray()
-        while True:
-            event = await self._http.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if not isinstance(event, h11.Data):
-                raise CallerGone
-            body += event.data
-            if len(body) > self._state.limits.max_body:
-                return None
+        is_admissible = False
+        with trio.CancelScope() as self._wait_scope:
+            while self._share.end_reason is None:
+                event = await self._http.parse()
+                if event is h11.NEED_DATA:
+                    await self._receive(head_bytes + len(body))
+                    continue
+                if isinstance(event, h11.EndOfMessage):
+                    return bytes(body)
+                if not isinstance(event, h11.Data):
+                    raise CallerGone
+                body += event.data
+                if len(body) > limit:
+                    return _too_large(limit)
+                if len(body) > SMALL_REQUEST and not is_admissible:
+                    refusal = self._check_admissible(request, headers)
+                    if refusal is not None:
+                        return refusal
+                    is_admissible = True
+        return overloaded(self._rng)
+
+    def _check_admissible(
+        self, request: h11.Request, headers: Headers
+    ) -> Refusal | None:
+        """Return why a request is refused whatever its body is."""
+        try:
+            head = self._translator.read_call(headers)
+        except ValueError as error:
+            return Refusal(400, "bad_request", str(error), Verdict.NOT_RUN)
+        now = self._clock.now()
+        admitted = admit_head(head, request.target, headers, self._gate, now)
+        return admitted.err_value if isinstance(admitted, Err) else None
 
     def _admit(
         self,
@@ -218,6 +318,22 @@
         if not responder.whole:
             raise CallerGone
 
+    async def _refuse_unread(
+        self, headers: Headers, refusal: Refusal, responder: EdgeResponder
+    ) -> None:
+        """Refuse a request whose body is not read, and close the connection.
+
+        The caller gets some time to read the answer, unless its place is needed.
+        """
+        responder.close_after()
+        await self._refuse(headers, refusal, responder)
+        if self._share.end_reason is EndReason.CONNECTIONS:
+            return
+        self._intake.close(self._share)
+        self._share = self._intake.open(self._stop_waiting, self._clock.now())
+        with trio.CancelScope() as self._wait_scope:
+            await self._http.discard_rest(DISCARD_TIME / MS_PER_SECOND)
+
     async def _refuse(
         self, headers: Headers | None, refusal: Refusal, responder: EdgeResponder
     ) -> bool:
@@ -266,3 +382,18 @@
             framing=None if framing is None else framing.value,
             body_bytes=responder.body_bytes,
         )
+
+
+def _announced_length(headers: Headers) -> int:
+    """Return the length of the body if the head states one, else 0."""
+    return int(first_value(headers, b"content-length") or 0)
+
+
+def _memory_of(headers: Headers) -> int:
+    """Return how many bytes a head holds once it is parsed."""
+    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
+
+
+def _too_large(limit: int) -> Refusal:
+    reason = f"expected at most {limit} bytes"
+    return Refusal(413, "body_too_large", reason, Verdict.NOT_RUN)
--- a/src/yuccafold/edge/_exchange.py
+++ b/src/yuccafold/edge/_exchange.py
@@ -62,6 +62,9 @@
 """Subtracted from the target's idle timeout for network delay and for a task of this
 VM that is scheduled late."""
 
+MAX_JOINED_BYTES = 65_536
+"""Largest body that is copied to be sent in one write with its head."""
+
 DISCARD_TIMEOUT = Milliseconds(50)
 """How long the body of a rejected answer is read; after that, the connection is closed
 instead of reused."""
@@ -223,12 +226,13 @@
             target=self._call.target,
             headers=[*headers, *framing],
         )
-        data = http.encode(
-            self._request, *([h11.Data(data=body)] if body else []), h11.EndOfMessage()
-        )
+        data = http.encode(self._request)
+        rest = http.encode(*([h11.Data(data=body)] if body else []), h11.EndOfMessage())
+        writes = [data + rest] if len(rest) <= MAX_JOINED_BYTES else [data, rest]
         self._record.start_sending()
         try:
-            await http.send_encoded(data)
+            for write in writes:
+                await http.send_encoded(write)
         except (OSError, trio.BrokenResourceError) as error:
             raise AttemptFailedError(Failure.BROKEN, repr(error)) from error
 
--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -41,6 +41,10 @@
         """The framing of the target's answer that is relayed; ``None`` without one."""
         return self._target_framing
 
+    def close_after(self) -> None:
+        """Have the connection close after this answer."""
+        self._is_last = lambda: True
+
     def start(
         self, status: int, headers: Headers, target_framing: Framing | None = None
     ) -> None:
@@ -62,12 +66,13 @@
 
     async def refuse(self, refusal: Refusal, extra_headers: Headers = ()) -> None:
         """Send a refusal by the router as JSON."""
-        body = {"error": refusal.code, "message": refusal.reason}
+        content = {"error": refusal.code, "message": refusal.reason}
         headers: Headers = ((b"Content-Type", b"application/json"), *extra_headers)
         if refusal.retry_after_ms:
             seconds = f"{refusal.retry_after_ms / MS_PER_SECOND:.3f}"
             headers += ((b"Retry-After", seconds.encode()),)
-        await self.answer(refusal.status, headers, json.dumps(body).encode())
+        body = json.dumps(content).encode()
+        await self.answer(refusal.status, headers, body)
 
 
 def answer_headers(head: h11.Response, framing: Framing | None) -> Headers:
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -42,9 +42,7 @@
 from yuccafold.edge.reports import FleetReports
 from yuccafold.http import ConnectionPool
 from yuccafold.http import Listener
-
-MAX_CALLER_CONNECTIONS = 1_800
-"""Limit of open caller connections; each may need another one to a target."""
+from yuccafold.intake import Intake
 
 MAX_PAGE_CONNECTIONS = 512
 """Limit of open connections of the load balancer, of operators and of VMs that request
@@ -132,6 +130,7 @@
             self._targets,
             self._metrics,
         )
+        self._intake = Intake(settings.intake)
         self._callers: set[EdgeCaller] = set()
         self._draining = trio.Event()
         self._drain_schedule: DrainSchedule | None = None
@@ -197,7 +196,7 @@
         """Serve until drained; reports the address for callers once it is bound."""
         settings = self._settings
         caller_listener = await Listener.open(
-            str(settings.callers), MAX_CALLER_CONNECTIONS
+            str(settings.callers), settings.intake.connections
         )
         pages = [
             (await Listener.open(str(address), MAX_PAGE_CONNECTIONS), server)
@@ -294,6 +293,7 @@
             self._clock,
             self._rng,
             self._metrics,
+            self._intake,
         )
         self._callers.add(caller)
         try:
@@ -329,6 +329,8 @@
     def _metrics_page(self) -> tuple[int, str]:
         targets, leaving = self._view.counts()
         self._metrics.set_gauge("connections", len(self._callers))
+        self._metrics.set_gauge("connections_waiting", self._intake.waiting)
+        self._metrics.set_gauge("request_bytes", self._intake.held)
         self._metrics.set_gauge("settings_version", self._view.version)
         self._metrics.set_gauge("store_era", self._view.era)
         revision = revision_of(self._view.position)
--- a/src/yuccafold/edge/_settings.py
+++ b/src/yuccafold/edge/_settings.py
@@ -10,6 +10,7 @@
 from yuccafold._ids import ZoneId
 from yuccafold.edge._model import FeatureMode
 from yuccafold.edge._model import PartId
+from yuccafold.intake import IntakeLimits
 
 
 @final
@@ -55,6 +56,7 @@
     no more calls; ``None`` if zones aren't evacuated. ``sharing`` says for which
     services calls are admitted by capacity and the fair share of their account, and
     ``placing_by_work`` for which they are placed by what targets still have to do.
+    ``intake`` limits what the connections of all callers take.
     """
 
     vm: VmId
@@ -81,6 +83,7 @@
     evacuate_within: Milliseconds | None = None
     sharing: FeatureMode = FeatureMode.AUTO
     placing_by_work: FeatureMode = FeatureMode.AUTO
+    intake: IntakeLimits = IntakeLimits()
 
     @property
     def change_within(self) -> Milliseconds:
--- a/src/yuccafold/http/_stream.py
+++ b/src/yuccafold/http/_stream.py
@@ -21,6 +21,12 @@
 """Events that are parsed before other tasks run. One read may hold over ten thousand,
 if a body comes in chunks of a byte, and each takes some 30 us."""
 
+HEADERS_PER_EVENT = 8
+"""Header fields that take about as long to parse as one event."""
+
+LONG_HEAD_BYTES = 4_096
+"""A head of more bytes is parsed in a turn: it may have a thousand fields."""
+
 _parsing_turn: trio.lowlevel.RunVar[trio.Lock] = trio.lowlevel.RunVar("parsing_turn")
 
 Header = tuple[bytes, bytes]
@@ -115,16 +121,25 @@
 
         Other tasks run now and then, also if no bytes have to be waited for.
         """
-        if self._events_in_turn >= EVENTS_PER_TURN:
+        if self._events_in_turn >= EVENTS_PER_TURN or self._is_before_long_head():
             await _take_turn()
             self._events_in_turn = 0
+        event = self._http.next_event()
         self._events_in_turn += 1
-        return self._http.next_event()
+        if isinstance(event, h11.Request | h11.EndOfMessage):
+            self._events_in_turn += len(event.headers) // HEADERS_PER_EVENT
+        return event
+
+    def _is_before_long_head(self) -> bool:
+        if self._is_client or self._http.their_state is not h11.IDLE:
+            return False
+        return self.unparsed_bytes > LONG_HEAD_BYTES
 
     def start_next_cycle(self) -> None:
         """Expect the next request on the connection."""
         self._http.start_next_cycle()
-        self._events_in_turn = 0
+        if self._events_in_turn < EVENTS_PER_TURN:
+            self._events_in_turn = 0
 
     async def receive(self, max_bytes: int | None = None) -> bool:
         """Receive bytes into the protocol state; return ``False`` at the end."""
--- a/src/yuccafold/platform/_settings.py
+++ b/src/yuccafold/platform/_settings.py
@@ -10,10 +10,17 @@
 from yuccafold._ids import VmId
 from yuccafold._ids import ZoneId
 from yuccafold._parsing import parse_number
+from yuccafold._parsing import parse_whole
 from yuccafold.edge import EdgeSettings
 from yuccafold.edge import FeatureMode
 from yuccafold.edge import PartId
 from yuccafold.edge import SocketAddress
+from yuccafold.intake import BYTES_PER_MEGABYTE
+from yuccafold.intake import DEFAULT_MEMORY
+from yuccafold.intake import MAX_CONNECTIONS
+from yuccafold.intake import Bytes
+from yuccafold.intake import IntakeLimits
+from yuccafold.intake import memory_for_callers
 
 SETTINGS_VARIABLE = "YUCCAFOLD_SETTINGS"
 """Environment variable that holds the path of the settings file."""
@@ -70,6 +77,14 @@
             "heartbeat_interval_ms", _parse_milliseconds, DEFAULT_HEARTBEAT_INTERVAL_MS
         ),
         store_history=read("platform.history_s", _parse_seconds, "0"),
+        intake=IntakeLimits(
+            connections=read(
+                "callers.connections", _parse_connections, str(MAX_CONNECTIONS)
+            ),
+            memory=read("callers.memory_mb", _parse_megabytes, "")
+            or memory_for_callers(read("limits.memory_mb", _parse_megabytes, ""))
+            or DEFAULT_MEMORY,
+        ),
     )
 
 
@@ -97,6 +112,21 @@
     return seconds(parse_number(text))
 
 
+def _parse_megabytes(text: str) -> Bytes:
+    """Parse a size in MB, which may have decimals; return 0 if there is none."""
+    size = round(parse_number(text or "0") * BYTES_PER_MEGABYTE)
+    if size < 0:
+        raise ValueError(f"expected a size in MB, got {text!r}")
+    return size
+
+
+def _parse_connections(text: str) -> int:
+    number = parse_whole(text)
+    if number < 1:
+        raise ValueError(f"expected one connection at least, got {text!r}")
+    return number
+
+
 def _parse_mode(text: str) -> FeatureMode:
     modes = [mode.value for mode in FeatureMode]
     if text not in modes:
--- a/testing/platform/test_settings.py
+++ b/testing/platform/test_settings.py
@@ -3,8 +3,12 @@
 import pytest
 
 from yuccafold.edge import FeatureMode
+from yuccafold.intake import DEFAULT_MEMORY
+from yuccafold.intake import MAX_CONNECTIONS
 from yuccafold.platform import read_settings
 
+MEGABYTE = 1_048_576
+
 SETTINGS = """\
 node_name=front-a-1
 role=router
@@ -49,6 +53,38 @@
         read_settings(SETTINGS + f"{name}=fair\n")
 
 
+@pytest.mark.parametrize(
+    ("lines", "memory"),
+    [
+        ("", DEFAULT_MEMORY),
+        ("limits.memory_mb=300\n", 60 * MEGABYTE),
+        ("limits.memory_mb=300\ncallers.memory_mb=7.5\n", 7.5 * MEGABYTE),
+    ],
+)
+def test_requests_may_hold_a_share_of_the_memory_unless_set(lines, memory):
+    assert read_settings(SETTINGS + lines).intake.memory == memory
+
+
+def test_most_connections_of_callers_are_parsed():
+    assert read_settings(SETTINGS).intake.connections == MAX_CONNECTIONS
+    settings = read_settings(SETTINGS + "callers.connections=200\n")
+    assert settings.intake.connections == 200
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("callers.connections", "0"),
+        ("callers.connections", "many"),
+        ("callers.memory_mb", "-1"),
+        ("limits.memory_mb", "300M"),
+    ],
+)
+def test_faulty_limit_of_callers_raises_with_its_name(name, value):
+    with pytest.raises(ValueError, match=name):
+        read_settings(f"{SETTINGS}{name}={value}\n")
+
+
 def test_bounds_of_cold_targets_and_evacuations_are_parsed():
     settings = read_settings(SETTINGS)
     assert (settings.cold_multiple, settings.cold_slack) == (1.0, 0.0)
@@ -97,6 +133,9 @@
         "bounds.evacuation_ms",
         "heartbeat_interval_ms",
         "platform.history_s",
+        "limits.memory_mb",
+        "callers.memory_mb",
+        "callers.connections",
     ],
 )
 def test_setting_with_a_number_out_of_range_raises_with_its_name(name, value):
