Give a new caller the place of the one that was silent for longest

What callers saw: clients that stayed open and sent nothing more took all places of a VM, for as long as they liked in the middle of a body; nobody else was let in.

Cause: at the limit no connection was accepted, whatever those that were open did.

Now a new connection is accepted at the limit, too, and the intake ends the one that waits for its caller for longest, between two requests or within one; calls that run are not ended.

--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -196,7 +196,9 @@
         """Serve until drained; reports the address for callers once it is bound."""
         settings = self._settings
         caller_listener = await Listener.open(
-            str(settings.callers), settings.intake.connections
+            str(settings.callers),
+            settings.intake.connections,
+            self._intake.make_room,
         )
         pages = [
             (await Listener.open(str(address), MAX_PAGE_CONNECTIONS), server)
--- a/testing/edge/test_unfinished_requests.py
+++ b/testing/edge/test_unfinished_requests.py
@@ -167,6 +167,19 @@
     assert answer.headers[b"x-not-executed"] == b"1"
 
 
+@on_trio
+async def test_silent_callers_give_way_to_a_new_one():
+    """Callers that stayed open in the middle of a body took all places."""
+    async with running_intake(connections=4) as edge:
+        silent = [await begin(edge, *CHUNKED, call_id=f"c{n}") for n in range(12)]
+        for _ in range(3):
+            with trio.fail_after(10):
+                status, _, _ = await edge.call("POST", "/book/", b"ordinary")
+            assert status == 200
+        for stream in silent:
+            await stream.aclose()
+
+
 @on_trio
 async def test_body_that_comes_slowly_is_served_in_calm():
     limits = CallerLimits()
