Give up refusals that their callers don't read

What callers saw: nothing yet; found by looking for the same cause elsewhere. A client that sends requests which are refused, and reads no answer, kept its place and a task for ever: the write had no time limit, and no call's deadline ends it.

A refusal is given up after 15 s, as long as callers may stay idle. test_caller_that_reads_no_refusals_does_not_keep_its_place.

--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -7,15 +7,22 @@
 from typing import final
 
 import h11
+import trio
 
 from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Milliseconds
 from yuccafold._verdict import Refusal
 from yuccafold.http import AnswerWriter
+from yuccafold.http import CallerGone
 from yuccafold.http import Framing
 from yuccafold.http import Headers
 from yuccafold.http import HttpStream
 from yuccafold.http import end_to_end
 
+REFUSAL_TIMEOUT = Milliseconds(15_000)
+"""How long a caller may read nothing while it is sent a refusal: as long as it may stay
+idle."""
+
 NO_CONTENT = 204
 CLOSE_HEADERS: Headers = ((b"Connection", b"close"),)
 
@@ -72,7 +79,10 @@
             seconds = f"{refusal.retry_after_ms / MS_PER_SECOND:.3f}"
             headers += ((b"Retry-After", seconds.encode()),)
         body = json.dumps(content).encode()
-        await self.answer(refusal.status, headers, body)
+        with trio.move_on_after(REFUSAL_TIMEOUT / MS_PER_SECOND) as scope:
+            await self.answer(refusal.status, headers, body)
+        if scope.cancelled_caught:
+            raise CallerGone
 
 
 def answer_headers(head: h11.Response, framing: Framing | None) -> Headers:
--- a/testing/edge/test_unfinished_requests.py
+++ b/testing/edge/test_unfinished_requests.py
@@ -16,7 +16,9 @@
 from edge.loopback_edge import target
 from support.loopback import on_trio
 from support.loopback import read_to_end
+from yuccafold._clock import Milliseconds
 from yuccafold.edge import CallerLimits
+from yuccafold.edge import _responder
 from yuccafold.intake import SMALL_REQUEST
 from yuccafold.intake import IntakeLimits
 
@@ -58,6 +60,11 @@
         return parse_answer(await read_to_end(stream))
 
 
+async def send_without_end(stream, data):
+    while True:
+        await stream.send_all(data)
+
+
 def chunk(data):
     return b"%x\r\n%s\r\n" % (len(data), data)
 
@@ -241,3 +248,14 @@
         assert not edge.runs
 
     run()
+
+
+@on_trio
+async def test_caller_that_reads_no_refusals_does_not_keep_its_place(monkeypatch):
+    monkeypatch.setattr(_responder, "REFUSAL_TIMEOUT", Milliseconds(200))
+    request = b"GET /none/ HTTP/1.1\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n\r\n"
+    async with running_intake() as edge:
+        host, _, port = edge.address.partition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        with trio.fail_after(30), pytest.raises(trio.BrokenResourceError):
+            await send_without_end(stream, request * 1_000)
