Bound what the requests of all callers hold in the fleet's router, too

CallerConnection uses the intake in the same way; caller_memory_mb (256) bounds the sum. Both tests of router/test_unfinished_requests.py time out without it.

--- a/src/yuccafold/router/_body.py
+++ b/src/yuccafold/router/_body.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from typing import final
 
 import h11
@@ -25,12 +26,16 @@
     """The body that a caller sends with a call.
 
     ``read_ahead`` buffers the start of the body. ``chunks`` yields the buffer and
-    then reads the rest from the caller, which is possible only once.
+    then reads the rest from the caller, which is possible only once. ``on_buffered``
+    is called with what the buffer holds, each time that it has grown.
     """
 
-    def __init__(self, http: HttpStream, limit: int) -> None:
+    def __init__(
+        self, http: HttpStream, limit: int, on_buffered: Callable[[int], None]
+    ) -> None:
         self._http = http
         self._limit = limit
+        self._on_buffered = on_buffered
         self._size = 0
         self._parts: list[bytes] = []
         self._complete = False
@@ -54,6 +59,7 @@
                 self._complete = True
             else:
                 self._parts.append(data)
+                self._on_buffered(self._size)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; a second time only if it was buffered completely."""
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -20,6 +20,7 @@
 from yuccafold.http import ServedConnection
 from yuccafold.http import first_value
 from yuccafold.http import head_fault
+from yuccafold.intake import Intake
 from yuccafold.router._body import READ_AHEAD_BYTES
 from yuccafold.router._body import RequestBody
 from yuccafold.router._call import Call
@@ -63,6 +64,7 @@
         clock: Clock,
         telemetry: Telemetry,
         refusals: RefusalLog,
+        intake: Intake,
     ) -> None:
         super().__init__(stream, MAX_HEAD_BYTES)
         self._state = state
@@ -71,13 +73,25 @@
         self._clock = clock
         self._telemetry = telemetry
         self._refusals = refusals
-        self._idle_scope = trio.CancelScope()
+        self._intake = intake
+        self._share = intake.open(self._stop_waiting, clock.now())
+        self._wait_scope = trio.CancelScope()
         self._awaiting_request = True
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is handling a call."""
         if self._awaiting_request:
-            self._idle_scope.cancel()
+            self._wait_scope.cancel()
+
+    async def run(self) -> None:
+        """Serve calls until the connection ends, then close it."""
+        try:
+            await super().run()
+        finally:
+            self._intake.close(self._share)
+
+    def _stop_waiting(self) -> None:
+        self._wait_scope.cancel()
 
     async def _serve_one(self) -> bool:
         """Serve one call; return whether the connection can be reused."""
@@ -89,6 +103,7 @@
             return await self._serve(request)
         finally:
             self._state.call_ended()
+            self._intake.end_call(self._share, self._clock.now())
 
     async def _next_request(self) -> h11.Request | None:
         """Return the next request, or ``None`` if the connection is to be closed.
@@ -96,11 +111,11 @@
         A malformed request is answered here with an error.
         """
         self._awaiting_request = True
-        self._idle_scope = trio.CancelScope(
+        self._wait_scope = trio.CancelScope(
             relative_deadline=IDLE_TIMEOUT / MS_PER_SECOND
         )
         try:
-            with self._idle_scope:
+            with self._wait_scope:
                 event = await self._http.next_event()
                 self._awaiting_request = False
                 return event if isinstance(event, h11.Request) else None
@@ -135,8 +150,9 @@
         try:
             resolved = self._resolve(request, tree)
             service = resolved.service
-            body = RequestBody(self._http, resolved.policy.body_limit_bytes)
+            body = RequestBody(self._http, resolved.policy.body_limit_bytes, self._hold)
             call = await self._read_call(request, call_id, resolved, body)
+            self._intake.begin_call(self._share)
             idempotent = call.idempotent
             await self._forward(call, body, responder)
         except CallRefused as refused:
@@ -211,12 +227,21 @@
     async def _read_body_ahead(
         self, body: RequestBody, limit: int, policy: Policy
     ) -> None:
-        with trio.move_on_after(policy.caller_idle_timeout_ms / MS_PER_SECOND) as scope:
+        timeout = policy.caller_idle_timeout_ms / MS_PER_SECOND
+        with trio.move_on_after(timeout) as self._wait_scope:
             await body.read_ahead(limit)
-        if scope.cancelled_caught:
+        if self._share.end_reason is not None:
+            reason = "the VM has no memory left for the request"
+            raise CallRefused(
+                Refusal(503, "overloaded", reason, Verdict.NOT_RUN, 1_000)
+            )
+        if self._wait_scope.cancelled_caught:
             reason = f"expected the body within {policy.caller_idle_timeout_ms} ms"
             raise CallRefused(bad_request(reason, 408, "body_timeout"))
 
+    def _hold(self, body_bytes: int) -> None:
+        self._intake.hold(self._share, body_bytes, self._clock.now())
+
     async def _forward(
         self, call: Call, body: RequestBody, responder: Responder
     ) -> None:
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -25,6 +25,9 @@
 from yuccafold.fleet import PeerNetwork
 from yuccafold.http import ConnectionPool
 from yuccafold.http import Listener
+from yuccafold.intake import BYTES_PER_MEGABYTE
+from yuccafold.intake import Intake
+from yuccafold.intake import IntakeLimits
 from yuccafold.replica import read_revision
 from yuccafold.router._caller import CallerConnection
 from yuccafold.router._forward import Forwarder
@@ -116,6 +119,8 @@
             self._recent,
         )
         self._refusals = RefusalLog()
+        caller_memory = settings.caller_memory_mb * BYTES_PER_MEGABYTE
+        self._intake = Intake(IntakeLimits(settings.max_connections, caller_memory))
         self._connections: set[CallerConnection] = set()
         self._drain_requested = trio.Event()
         self._kill_scope = trio.CancelScope()
@@ -177,7 +182,9 @@
     ) -> None:
         """Serve until drained or killed; report the addresses once listening."""
         callers = await Listener.open(
-            self._settings.listen, self._settings.max_connections
+            self._settings.listen,
+            self._settings.max_connections,
+            self._intake.make_room,
         )
         operators = await Listener.open(self._settings.operator, 64)
         pages = StatusPages(
@@ -249,6 +256,7 @@
             self._clock,
             self._telemetry,
             self._refusals,
+            self._intake,
         )
         self._connections.add(connection)
         try:
--- a/src/yuccafold/settings/_process.py
+++ b/src/yuccafold/settings/_process.py
@@ -108,3 +108,6 @@
     drain_limit_ms: Duration = 330_000
     pause_limit_ms: Duration = 1_000
     max_connections: Annotated[int, Field(ge=1, le=100_000)] = 4_096
+    caller_memory_mb: Annotated[int, Field(ge=1, le=1_048_576)] = 256
+    """What the requests of all callers may hold in memory. Past it, an unfinished one
+    of more than 16 KiB is refused: the one whose caller was silent for longest."""
--- /dev/null
+++ b/testing/router/test_unfinished_requests.py
@@ -0,0 +1,66 @@
+"""Requests of many callers that are never finished."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+
+import trio
+
+from router.fakes import KEY
+from router.fakes import caller
+from router.fakes import echo
+from router.fakes import fleet
+from support.loopback import on_trio
+
+PIECE = b"x" * 65_536
+PIECES = 8
+CROWD = 6
+
+
+def begun_chat(body_bytes):
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: fleet\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: {body_bytes}\r\n\r\n"
+    )
+    return head.encode()
+
+
+@on_trio
+async def test_large_bodies_of_a_crowd_are_refused_as_not_run_and_others_served():
+    """Each body was within its limit, and all together ended the process."""
+    async with AsyncExitStack() as stack:
+        _, addresses, targets = await stack.enter_async_context(
+            fleet(echo, caller_memory_mb=1)
+        )
+        crowd = []
+        for _ in range(CROWD):
+            client = await stack.enter_async_context(caller(addresses.callers))
+            await client.send(begun_chat(PIECES * len(PIECE) + 1) + PIECE * PIECES)
+            crowd.append(client)
+            await trio.sleep(0.02)
+        for client in crowd[:-2]:
+            with trio.fail_after(10):
+                status, headers, _, whole = await client.read_answer()
+            assert (status, whole) == (503, True)
+            assert headers["yuccafold-verdict"] == "not-run"
+        async with caller(addresses.callers) as client:
+            with trio.fail_after(10):
+                status, _, _, _ = await client.call("POST", "/desk/search", b"small")
+        assert status == 200
+        assert len(targets[0].requests) == 1
+
+
+@on_trio
+async def test_silent_callers_give_way_to_a_new_one():
+    """Callers that stayed open in the middle of a body took all places."""
+    async with AsyncExitStack() as stack:
+        _, addresses, _ = await stack.enter_async_context(
+            fleet(echo, max_connections=CROWD)
+        )
+        for _ in range(2 * CROWD):
+            client = await stack.enter_async_context(caller(addresses.callers))
+            await client.send(begun_chat(PIECES))
+        async with caller(addresses.callers) as client:
+            with trio.fail_after(10):
+                status, _, _, _ = await client.call("POST", "/desk/search", b"small")
+        assert status == 200
