Bound silent connections at the addresses for pages, too

Readiness, metrics and the peers' address took 512 connections each, and none beyond, for as long as they were silent for less than 10 s: the balancer's questions would wait behind them. A new connection takes the place of the one that was silent for longest there as well, and none takes more places than callers.connections.

PageServer takes a clock; three tests pass one.

--- a/src/yuccafold/edge/_pages.py
+++ b/src/yuccafold/edge/_pages.py
@@ -9,11 +9,20 @@
 import trio
 
 from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Clock
 from yuccafold._clock import Milliseconds
 from yuccafold.edge._responder import EdgeResponder
+from yuccafold.edge._settings import SocketAddress
 from yuccafold.http import CallerGone
 from yuccafold.http import Headers
 from yuccafold.http import HttpStream
+from yuccafold.http import Listener
+from yuccafold.intake import Intake
+from yuccafold.intake import IntakeLimits
+
+MAX_PAGE_CONNECTIONS = 512
+"""Limit of open connections of the load balancer, of operators and of VMs that request
+the view of a seed."""
 
 PAGE_IDLE_TIMEOUT = Milliseconds(10_000)
 """How long a connection may stay idle. The load balancer requests the readiness page
@@ -28,21 +37,38 @@
 
 @final
 class PageServer:
-    """Answers every request with the page that a function returns for its target."""
+    """Answers every request with the page that a function returns for its target.
+
+    ``limit`` connections are served at once; a new one takes the place of the one that
+    was silent for longest.
+    """
 
-    def __init__(self, render_page: RenderPage) -> None:
+    def __init__(
+        self, render_page: RenderPage, clock: Clock, limit: int = MAX_PAGE_CONNECTIONS
+    ) -> None:
         self._render_page = render_page
+        self._clock = clock
+        self._limit = limit
+        self._intake = Intake(IntakeLimits(connections=limit))
+
+    async def listen(self, address: SocketAddress) -> Listener:
+        """Listen on ``address`` for connections to serve."""
+        return await Listener.open(str(address), self._limit, self._intake.make_room)
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
         http = HttpStream(stream, h11.SERVER, MAX_PAGE_HEAD_BYTES)
+        scope = trio.CancelScope(relative_deadline=PAGE_IDLE_TIMEOUT / MS_PER_SECOND)
+        share = self._intake.open(scope.cancel, self._clock.now())
         try:
-            with trio.move_on_after(PAGE_IDLE_TIMEOUT / MS_PER_SECOND) as scope:
+            with scope:
                 while await self._serve_one(http):
                     scope.relative_deadline = PAGE_IDLE_TIMEOUT / MS_PER_SECOND
+                    self._intake.end_call(share, self._clock.now())
         except (CallerGone, OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
             return
         finally:
+            self._intake.close(share)
             await http.close()
 
     async def _serve_one(self, http: HttpStream) -> bool:
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -5,6 +5,7 @@
 import json
 import random
 from dataclasses import replace
+from functools import partial
 from typing import final
 
 import trio
@@ -23,6 +24,7 @@
 from yuccafold.edge._gate import Gate
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import CallerLimits
+from yuccafold.edge._pages import MAX_PAGE_CONNECTIONS
 from yuccafold.edge._pages import PageServer
 from yuccafold.edge._peers import PeerSource
 from yuccafold.edge._peers import ViewPage
@@ -44,10 +46,6 @@
 from yuccafold.http import Listener
 from yuccafold.intake import Intake
 
-MAX_PAGE_CONNECTIONS = 512
-"""Limit of open connections of the load balancer, of operators and of VMs that request
-the view of a seed."""
-
 FIRST_VIEW_TIMEOUT = Milliseconds(600)
 """How long calls wait in the listen backlog for the first view of the platform, before
 they are refused. Reading it takes a few ms, or half a second for a long configuration
@@ -201,7 +199,7 @@
             self._intake.make_room,
         )
         pages = [
-            (await Listener.open(str(address), MAX_PAGE_CONNECTIONS), server)
+            (await server.listen(address), server)
             for address, server in self._page_servers()
         ]
         log_event(
@@ -249,7 +247,9 @@
 
     def _page_servers(self) -> list[tuple[SocketAddress, PageServer]]:
         settings = self._settings
-        servers = [(settings.readiness, PageServer(self._readiness))]
+        limit = min(settings.intake.connections, MAX_PAGE_CONNECTIONS)
+        serve_page = partial(PageServer, clock=self._clock, limit=limit)
+        servers = [(settings.readiness, serve_page(self._readiness))]
         if settings.peers is not None:
             page = ViewPage(
                 self._clock,
@@ -258,10 +258,10 @@
                 self._targets.evidence,
                 self._fleet_reports,
             )
-            servers.append((settings.peers, PageServer(page.answer)))
+            servers.append((settings.peers, serve_page(page.answer)))
         if settings.metrics_port:
             address = SocketAddress(settings.readiness.host, settings.metrics_port)
-            servers.append((address, PageServer(self._operator_page)))
+            servers.append((address, serve_page(self._operator_page)))
         return servers
 
     async def _drain_callers(self, listener: Listener) -> None:
--- a/testing/edge/explain/test_command.py
+++ b/testing/edge/explain/test_command.py
@@ -17,6 +17,7 @@
 from support.loopback import on_trio
 from support.loopback import until
 from yuccafold._clock import Milliseconds
+from yuccafold._clock import MonotonicClock
 from yuccafold.cli import main
 from yuccafold.edge import FeatureMode
 from yuccafold.edge import SocketAddress
@@ -46,7 +47,7 @@
 async def serve_page(nursery, render_page):
     """Serve a page at a port, which is returned."""
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    server = PageServer(render_page)
+    server = PageServer(render_page, MonotonicClock())
     nursery.start_soon(trio.serve_listeners, server.serve, [listener])
     return listener.socket.getsockname()[1]
 
--- a/testing/edge/test_bodiless_answers.py
+++ b/testing/edge/test_bodiless_answers.py
@@ -10,6 +10,7 @@
 from edge.loopback_edge import target
 from support.loopback import on_trio
 from support.loopback import read_to_end
+from yuccafold._clock import MonotonicClock
 from yuccafold.edge._pages import PageServer
 from yuccafold.standins import TargetMode
 
@@ -81,7 +82,9 @@
 async def test_page_answers_head_without_its_body():
     balancer, vm = trio.testing.memory_stream_pair()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(PageServer(lambda target: (200, "ready")).serve, vm)
+        nursery.start_soon(
+            PageServer(lambda target: (200, "ready"), MonotonicClock()).serve, vm
+        )
         await balancer.send_all(b"HEAD / HTTP/1.1\r\nHost: vm\r\n\r\n")
         answer = parse_answer(await balancer.receive_some(), "HEAD")
         assert (answer.status, answer.complete) == (200, True)
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -10,6 +10,7 @@
 from support.loopback import on_trio
 from yuccafold._clock import ManualClock
 from yuccafold._clock import Milliseconds
+from yuccafold._clock import MonotonicClock
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold.edge import Entry
@@ -46,7 +47,7 @@
     )
     unavailable = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(listener.run, PageServer(page).serve)
+        nursery.start_soon(listener.run, PageServer(page, MonotonicClock()).serve)
         try:
             return await action(source)
         except PlatformUnavailableError as error:
