End calls for a new caller if theirs send without end behind them

Clients that begin a stream and pipeline requests behind it without end held all places, as calls that run are not ended; nobody else was let in. Where no connection waits for its caller, one whose caller has sent more behind its call than is read gives way.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -110,6 +110,11 @@
         finally:
             self._intake.close(self._share)
 
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        await super()._watch_caller(scope)
+        if not scope.cancel_called:
+            self._intake.record_backlog(self._share)
+
     def _stop_waiting(self) -> None:
         """Stop waiting for the caller, as the intake asks for it."""
         share = self._share
@@ -119,7 +124,9 @@
                 "connection_ended",
                 reason=share.end_reason.value,
                 held_bytes=share.held,
-                silent_ms=self._clock.now() - (share.silent_since or 0),
+                silent_ms=None
+                if share.silent_since is None
+                else self._clock.now() - share.silent_since,
             )
         self._wait_scope.cancel()
 
@@ -309,6 +316,7 @@
         refusal: Refusal | None = None
         try:
             async with trio.open_nursery() as nursery:
+                self._wait_scope = nursery.cancel_scope
                 nursery.start_soon(self._watch_caller, nursery.cancel_scope)
                 refusal = await self._forwarder.forward(call, responder)
                 nursery.cancel_scope.cancel()
--- a/src/yuccafold/intake/_connections.py
+++ b/src/yuccafold/intake/_connections.py
@@ -31,12 +31,13 @@
     ``end`` is called at most once, to have the connection stop waiting for its caller.
     """
 
-    __slots__ = ("_end", "end_reason", "held", "silent_since")
+    __slots__ = ("_end", "end_reason", "has_backlog", "held", "silent_since")
 
     def __init__(self, end: Callable[[], None], now: Milliseconds) -> None:
         self._end = end
         self.held: Bytes = 0
         self.silent_since: Milliseconds | None = now
+        self.has_backlog = False
         self.end_reason: EndReason | None = None
 
     @property
@@ -55,9 +56,10 @@
     """Keeps the connections of callers within their limits in sum.
 
     Where a limit is reached, connections that wait for their caller are ended, the one
-    first whose caller has been silent for longest. Calls that run are never ended. A
-    request is ended to free memory only if it holds more than a small request, and
-    not if it is the only such one.
+    first whose caller has been silent for longest. A call that runs is ended only for a
+    new caller, and only if its own caller has sent more behind it than is read. A
+    request is ended to free memory only if it holds more than a small request, and not
+    if it is the only such one.
     """
 
     def __init__(self, limits: IntakeLimits) -> None:
@@ -104,14 +106,29 @@
         """Record that a request is whole; its connection is not ended while it runs."""
         share.silent_since = None
 
+    def record_backlog(self, share: CallerShare) -> None:
+        """Record that a caller has sent more behind its call than is read meanwhile."""
+        share.has_backlog = True
+
     def end_call(self, share: CallerShare, now: Milliseconds) -> None:
         """Record that a call was answered; its connection waits for the next one."""
         self._set_held(share, 0)
         share.silent_since = now
+        share.has_backlog = False
 
     def make_room(self) -> bool:
         """End one connection for a new caller; return whether there was one to end."""
-        return _end_most_silent(self._shares, EndReason.CONNECTIONS) is not None
+        if _end_most_silent(self._shares, EndReason.CONNECTIONS) is not None:
+            return True
+        backlogged = (
+            share
+            for share in self._shares
+            if share.has_backlog and share.end_reason is None
+        )
+        chosen = next(backlogged, None)
+        if chosen is not None:
+            chosen.end(EndReason.CONNECTIONS)
+        return chosen is not None
 
     def _free_memory(self) -> bool:
         large = [share for share in self._shares if share.held > SMALL_REQUEST]
--- a/testing/intake/test_connections.py
+++ b/testing/intake/test_connections.py
@@ -103,6 +103,18 @@
     assert idle.end_reason is EndReason.CONNECTIONS
 
 
+def test_running_call_gives_way_only_if_its_caller_sent_too_much_behind_it():
+    callers = Callers()
+    running, flooding = callers.open("running"), callers.open("flooding")
+    for share in (running, flooding):
+        callers.intake.begin_call(share)
+    callers.intake.record_backlog(flooding)
+    waiting = callers.open("waiting")
+    assert [callers.intake.make_room() for _ in range(3)] == [True, True, False]
+    assert callers.ended == ["waiting", "flooding"]
+    assert waiting.end_reason is EndReason.CONNECTIONS
+
+
 def test_ended_connection_is_not_ended_again_and_holds_nothing():
     callers = Callers(memory=2 * LARGE)
     shares = [callers.open(number) for number in range(4)]
