Close a connection that was asked to end while it wrote an answer

A connection that is chosen to give way while its refusal is written, or right at the end of its call, has no wait that could be cancelled. It went on, but was never chosen again and its requests were not counted. It closes after that answer now, at the edge and in the fleet's router. Found by reading.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -136,10 +136,11 @@
             request = await self._read_head()
             if request is None:
                 return False
-            return await self._serve(request)
+            is_kept = await self._serve(request)
         except h11.RemoteProtocolError as error:
             await self._refuse_malformed(error)
             return False
+        return is_kept and self._share.end_reason is None
 
     async def _read_head(self) -> h11.Request | None:
         """Return the next request, or ``None`` if the caller closes or times out."""
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -100,10 +100,11 @@
             return False
         self._state.call_started()
         try:
-            return await self._serve(request)
+            is_kept = await self._serve(request)
         finally:
             self._state.call_ended()
             self._intake.end_call(self._share, self._clock.now())
+        return is_kept and self._share.end_reason is None
 
     async def _next_request(self) -> h11.Request | None:
         """Return the next request, or ``None`` if the connection is to be closed.
