Let callers that read no refusals give way to new ones

A request was counted as a running call as soon as it was whole, and a running call is not ended for others. Now it is one only once it is admitted, and the writing of a refusal can be ended like a wait for the caller. A connection that was ended meanwhile is not used for another request.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -184,7 +184,7 @@
         status = error.error_status_hint
         log_event("request_malformed", status=status, error=str(error))
         refusal = Refusal(status, "malformed", str(error), Verdict.NOT_RUN)
-        await EdgeResponder(self._http, b"", lambda: True).refuse(refusal)
+        await self._send_refusal(refusal, EdgeResponder(self._http, b"", lambda: True))
 
     async def _serve(self, request: h11.Request) -> bool:
         """Read, admit and forward a call, or refuse it.
@@ -208,7 +208,6 @@
         if isinstance(body, Refusal):
             await self._refuse_unread(headers, body, responder)
             return False
-        self._intake.begin_call(self._share)
         try:
             return await self._answer(request, headers, body, responder)
         finally:
@@ -231,6 +230,7 @@
             call = stopping(self._rng)
         if isinstance(call, Refusal):
             return await self._refuse(headers, call, responder)
+        self._intake.begin_call(self._share)
         await self._forward_call(call, responder)
         return responder.whole and self._is_reusable()
 
@@ -335,11 +335,12 @@
         The caller gets some time to read the answer, unless its place is needed.
         """
         responder.close_after()
-        await self._refuse(headers, refusal, responder)
-        if self._share.end_reason is EndReason.CONNECTIONS:
-            return
+        is_place_needed = self._share.end_reason is EndReason.CONNECTIONS
         self._intake.close(self._share)
         self._share = self._intake.open(self._stop_waiting, self._clock.now())
+        await self._refuse(headers, refusal, responder)
+        if is_place_needed:
+            return
         with trio.CancelScope() as self._wait_scope:
             await self._http.discard_rest(DISCARD_TIME / MS_PER_SECOND)
 
@@ -368,9 +369,21 @@
             view_age_ms=self._gate.view_age(self._clock.now()),
         )
         self._metrics.count("refusals", code=refusal.code)
-        await responder.refuse(refusal, extra_headers)
+        await self._send_refusal(refusal, responder, extra_headers)
         return self._is_reusable()
 
+    async def _send_refusal(
+        self, refusal: Refusal, responder: EdgeResponder, extra_headers: Headers = ()
+    ) -> None:
+        """Send a refusal, unless what the connection holds is needed before it is read.
+
+        Raises ``CallerGone`` if the connection was ended meanwhile.
+        """
+        with trio.CancelScope() as self._wait_scope:
+            await responder.refuse(refusal, extra_headers)
+        if self._share.end_reason is not None:
+            raise CallerGone
+
     def _record_end(
         self, call: Call, responder: EdgeResponder, refusal: Refusal | None
     ) -> None:
--- a/testing/edge/test_unfinished_requests.py
+++ b/testing/edge/test_unfinished_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from contextlib import asynccontextmanager
 
 import pytest
@@ -65,6 +66,15 @@
         await stream.send_all(data)
 
 
+async def send_until_blocked(stream, data):
+    """Send until nothing has been read for a second."""
+    blocked = False
+    while not blocked:
+        with trio.move_on_after(1) as scope:
+            await stream.send_all(data)
+        blocked = scope.cancelled_caught
+
+
 def chunk(data):
     return b"%x\r\n%s\r\n" % (len(data), data)
 
@@ -259,3 +269,20 @@
         stream = await trio.open_tcp_stream(host, int(port))
         with trio.fail_after(30), pytest.raises(trio.BrokenResourceError):
             await send_without_end(stream, request * 1_000)
+
+
+@on_trio
+async def test_callers_that_read_no_refusals_give_way_to_a_new_one(monkeypatch):
+    """They kept all places until their refusals were given up."""
+    monkeypatch.setattr(_responder, "REFUSAL_TIMEOUT", Milliseconds(600_000))
+    request = b"GET /none/ HTTP/1.1\r\nHost: fleet.example\r\nX-Attempt-Id: a\r\n\r\n"
+    async with running_intake(connections=2) as edge:
+        host, _, port = edge.address.partition(":")
+        crowd = [await trio.open_tcp_stream(host, int(port)) for _ in range(2)]
+        for stream in crowd:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            with trio.fail_after(30):
+                await send_until_blocked(stream, request * 100)
+        with trio.fail_after(10):
+            status, _, _ = await edge.call("POST", "/book/", b"ordinary")
+    assert status == 200
