Close a router's connection whose whole request gave way to others

A connection whose request was the one too many, by its last byte, was kept, as no part of its body was unread, and all later requests on it were answered 503, small ones too: its share of the memory stays ended. It is closed now, and the refusal says so.

--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -159,6 +159,8 @@
         except CallRefused as refused:
             self._log_refusal(call_id, service, refused.refusal)
             if not responder.started:
+                if self._share.end_reason is not None:
+                    responder.close_after()
                 await responder.answer(error_answer(refused.refusal, idempotent))
         except h11.RemoteProtocolError as error:
             if not responder.started:
@@ -166,6 +168,7 @@
                 await responder.answer(error_answer(refusal, idempotent))
             return False
         self._record(service, responder, started)
+        closing = closing or self._share.end_reason is not None
         return responder.whole and not closing and self._is_reusable()
 
     def _resolve(self, request: h11.Request, tree: SettingsTree | None) -> Resolved:
--- a/src/yuccafold/router/_responder.py
+++ b/src/yuccafold/router/_responder.py
@@ -38,6 +38,10 @@
         """Whether the answer was aborted before its end."""
         return self._aborted
 
+    def close_after(self) -> None:
+        """Have the connection close after this answer."""
+        self._close = True
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Add a header to the answer; has an effect only before ``start``."""
         self._base_headers += ((name, value),)
--- a/testing/router/test_unfinished_requests.py
+++ b/testing/router/test_unfinished_requests.py
@@ -4,17 +4,25 @@
 
 from contextlib import AsyncExitStack
 
+import h11
 import trio
 
 from router.fakes import KEY
 from router.fakes import caller
 from router.fakes import echo
 from router.fakes import fleet
+from router.fakes import read_request
 from support.loopback import on_trio
+from yuccafold.intake import BYTES_PER_MEGABYTE
 
 PIECE = b"x" * 65_536
 PIECES = 8
 CROWD = 6
+CHAT = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
+
+
+def wait_long(tree):
+    return tree.replace("first_byte_timeout_ms: 500", "first_byte_timeout_ms: 60000")
 
 
 def begun_chat(body_bytes):
@@ -64,3 +72,31 @@
             with trio.fail_after(10):
                 status, _, _, _ = await client.call("POST", "/desk/search", b"small")
         assert status == 200
+
+
+async def never_answer(target, stream):
+    await read_request(target, stream, h11.Connection(h11.SERVER))
+    await trio.sleep_forever()
+
+
+@on_trio
+async def test_connection_whose_whole_request_gave_way_is_closed():
+    """It was kept, and every later request on it was refused."""
+    body_bytes = BYTES_PER_MEGABYTE // 2
+    async with AsyncExitStack() as stack:
+        _, addresses, targets = await stack.enter_async_context(
+            fleet(never_answer, edit=wait_long, caller_memory_mb=1)
+        )
+        running = await stack.enter_async_context(caller(addresses.callers))
+        client = await stack.enter_async_context(caller(addresses.callers))
+        await running.send(begun_chat(body_bytes) + CHAT.ljust(body_bytes))
+        with trio.fail_after(10):
+            while not targets[0].requests:
+                await trio.sleep(0.005)
+        # The last byte is the one too many, so no part of the request is unread.
+        await client.send(begun_chat(body_bytes + 1) + CHAT.ljust(body_bytes + 1))
+        with trio.fail_after(10):
+            status, headers, _, whole = await client.read_answer()
+            assert (status, whole) == (503, True)
+            assert headers["connection"] == "close"
+            assert await client.stream.receive_some() == b""
