Show two more ways in which crowds reach a router

Heads of many fields count as nothing while their bodies are awaited, and silent connections take all places of the port for operators.

--- a/testing/router/test_unfinished_requests.py
+++ b/testing/router/test_unfinished_requests.py
@@ -100,3 +100,36 @@
             assert (status, whole) == (503, True)
             assert headers["connection"] == "close"
             assert await client.stream.receive_some() == b""
+
+
+@on_trio
+async def test_heads_of_many_fields_count_as_held_by_their_requests():
+    """Each field holds 100 bytes and more beside its text, for 4,096 connections."""
+    fields = b"a:\r\n" * 7_000
+    async with AsyncExitStack() as stack:
+        _, addresses, _ = await stack.enter_async_context(
+            fleet(echo, caller_memory_mb=1)
+        )
+        crowd = []
+        for _ in range(CROWD):
+            client = await stack.enter_async_context(caller(addresses.callers))
+            await client.send(begun_chat(PIECES)[:-2] + fields + b"\r\n")
+            crowd.append(client)
+            await trio.sleep(0.02)
+        with trio.fail_after(10):
+            status, _, _, whole = await crowd[0].read_answer()
+    assert (status, whole) == (503, True)
+
+
+@on_trio
+async def test_operators_are_answered_beside_silent_connections_at_their_port():
+    """Silent connections took all places of the port."""
+    places = 64
+    async with AsyncExitStack() as stack:
+        _, addresses, _ = await stack.enter_async_context(fleet(echo))
+        for _ in range(places):
+            await stack.enter_async_context(caller(addresses.operators))
+        async with caller(addresses.operators) as client:
+            with trio.fail_after(10):
+                status, _, _, _ = await client.call("GET", "/ready")
+    assert status
