Count the heads of requests in the fleet's router

A head of 7,500 short fields holds 1.3 MB while its body is awaited, and counted as nothing: the intake knew of bodies only.

--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -32,6 +32,7 @@
 from yuccafold.http import ServedConnection
 from yuccafold.http import first_value
 from yuccafold.http import head_fault
+from yuccafold.http import memory_of
 from yuccafold.intake import SMALL_REQUEST
 from yuccafold.intake import EndReason
 from yuccafold.intake import Intake
@@ -44,9 +45,6 @@
 """Bytes by which an unfinished head may exceed the limit: methods, versions, spaces and
 line ends don't count for it."""
 
-HEADER_OVERHEAD = 256
-"""Bytes that a header field holds in memory beside its name and value."""
-
 DISCARD_TIME = Milliseconds(1_000)
 """How long a caller that sends a request which was refused may take to read that."""
 
@@ -198,7 +196,7 @@
         refusal = self._check_head(request, headers)
         if refusal is not None:
             return await self._refuse(None, refusal, responder)
-        head_bytes = _memory_of(headers)
+        head_bytes = memory_of(headers)
         body = await self._read_body(request, headers, head_bytes)
         if not isinstance(body, Refusal):
             held = head_bytes + len(body)
@@ -411,11 +409,6 @@
     return int(first_value(headers, b"content-length") or 0)
 
 
-def _memory_of(headers: Headers) -> int:
-    """Return how many bytes a head holds once it is parsed."""
-    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
-
-
 def _too_large(limit: int) -> Refusal:
     reason = f"expected at most {limit} bytes"
     return Refusal(413, "body_too_large", reason, Verdict.NOT_RUN)
--- a/src/yuccafold/http/__init__.py
+++ b/src/yuccafold/http/__init__.py
@@ -13,6 +13,7 @@
 from yuccafold.http._head import CallerGone
 from yuccafold.http._head import HeadFault
 from yuccafold.http._head import head_fault
+from yuccafold.http._head import memory_of
 from yuccafold.http._listener import Listener
 from yuccafold.http._pool import ConnectionPool
 from yuccafold.http._pool import IdleConnection
@@ -44,4 +45,5 @@
     "first_value",
     "framing_of",
     "head_fault",
+    "memory_of",
 ]
--- a/src/yuccafold/http/_head.py
+++ b/src/yuccafold/http/_head.py
@@ -8,12 +8,18 @@
 
 import h11
 
+from yuccafold.http._stream import Headers
+
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 """Reason phrases by status."""
 
 
+HEADER_OVERHEAD = 256
+"""Bytes that a header field holds in memory beside its name and value."""
+
+
 class CallerGone(Exception):
     """The caller closed its connection before its call was complete."""
 
@@ -42,3 +48,8 @@
     if b"content-length" in names and b"transfer-encoding" in names:
         return HeadFault(400, "expected Content-Length or Transfer-Encoding, got both")
     return None
+
+
+def memory_of(headers: Headers) -> int:
+    """Return how many bytes headers hold once they are parsed."""
+    return sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in headers)
--- a/src/yuccafold/router/_caller.py
+++ b/src/yuccafold/router/_caller.py
@@ -20,6 +20,7 @@
 from yuccafold.http import ServedConnection
 from yuccafold.http import first_value
 from yuccafold.http import head_fault
+from yuccafold.http import memory_of
 from yuccafold.intake import Intake
 from yuccafold.router._body import READ_AHEAD_BYTES
 from yuccafold.router._body import RequestBody
@@ -151,7 +152,13 @@
         try:
             resolved = self._resolve(request, tree)
             service = resolved.service
-            body = RequestBody(self._http, resolved.policy.body_limit_bytes, self._hold)
+            head_bytes = memory_of(tuple(request.headers))
+            self._hold(head_bytes)
+            body = RequestBody(
+                self._http,
+                resolved.policy.body_limit_bytes,
+                on_buffered=lambda size: self._hold(head_bytes + size),
+            )
             call = await self._read_call(request, call_id, resolved, body)
             self._intake.begin_call(self._share)
             idempotent = call.idempotent
@@ -233,7 +240,8 @@
     ) -> None:
         timeout = policy.caller_idle_timeout_ms / MS_PER_SECOND
         with trio.move_on_after(timeout) as self._wait_scope:
-            await body.read_ahead(limit)
+            if self._share.end_reason is None:
+                await body.read_ahead(limit)
         if self._share.end_reason is not None:
             reason = "the VM has no memory left for the request"
             raise CallRefused(
@@ -243,8 +251,8 @@
             reason = f"expected the body within {policy.caller_idle_timeout_ms} ms"
             raise CallRefused(bad_request(reason, 408, "body_timeout"))
 
-    def _hold(self, body_bytes: int) -> None:
-        self._intake.hold(self._share, body_bytes, self._clock.now())
+    def _hold(self, held: int) -> None:
+        self._intake.hold(self._share, held, self._clock.now())
 
     async def _forward(
         self, call: Call, body: RequestBody, responder: Responder
