Give operators the place of silent connections in the fleet's router

64 silent connections took all places of the port for operators, without a time limit; a request got no answer in 10 s.

--- a/src/yuccafold/router/_operator.py
+++ b/src/yuccafold/router/_operator.py
@@ -14,11 +14,17 @@
 import h11
 import trio
 
+from yuccafold._clock import Clock
 from yuccafold._parsing import parse_json
 from yuccafold.http import AnswerWriter
 from yuccafold.http import CallerGone
 from yuccafold.http import HttpStream
+from yuccafold.http import Listener
+from yuccafold.intake import CallerShare
+from yuccafold.intake import Intake
+from yuccafold.intake import IntakeLimits
 
+MAX_CONNECTIONS = 64
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 65_536
 
@@ -46,27 +52,42 @@
 
 @final
 class OperatorPort:
-    """Dispatches requests to ``handlers`` by method and path."""
+    """Dispatches requests to ``handlers`` by method and path.
 
-    def __init__(self, handlers: dict[tuple[str, str], Handler]) -> None:
+    A connection beyond the limit takes the place of the one that was silent longest.
+    """
+
+    def __init__(self, handlers: dict[tuple[str, str], Handler], clock: Clock) -> None:
         self._handlers = handlers
+        self._clock = clock
+        self._intake = Intake(IntakeLimits(connections=MAX_CONNECTIONS))
+
+    async def listen(self, address: str) -> Listener:
+        """Listen on ``address`` for connections to serve."""
+        return await Listener.open(address, MAX_CONNECTIONS, self._intake.make_room)
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
         """Serve requests until the connection ends."""
         http = HttpStream(stream, h11.SERVER, MAX_HEAD_BYTES)
+        scope = trio.CancelScope()
+        share = self._intake.open(scope.cancel, self._clock.now())
         try:
-            while await self._serve_one(http):
-                http.protocol.start_next_cycle()
+            with scope:
+                while await self._serve_one(http, share):
+                    http.start_next_cycle()
+                    self._intake.end_call(share, self._clock.now())
         except (CallerGone, OSError, trio.BrokenResourceError, h11.RemoteProtocolError):
             return
         finally:
+            self._intake.close(share)
             await http.close()
 
-    async def _serve_one(self, http: HttpStream) -> bool:
+    async def _serve_one(self, http: HttpStream, share: CallerShare) -> bool:
         request = await http.next_event()
         if not isinstance(request, h11.Request):
             return False
         body = await _read_body(http)
+        self._intake.begin_call(share)
         answer = await self._answer(request, body)
         await _send(http, request.method, answer)
         return (
--- a/src/yuccafold/router/_router.py
+++ b/src/yuccafold/router/_router.py
@@ -186,7 +186,6 @@
             self._settings.max_connections,
             self._intake.make_room,
         )
-        operators = await Listener.open(self._settings.operator, 64)
         pages = StatusPages(
             self._settings,
             self._state,
@@ -198,7 +197,8 @@
             self._recent,
             self._orders.controller,
         )
-        port = OperatorPort(pages.handlers())
+        port = OperatorPort(pages.handlers(), self._clock)
+        operators = await port.listen(self._settings.operator)
         meters = Meters(
             self._control.plane, self._network, self._clock, self._telemetry.metrics
         )
