Bound the parts of a prompt and their ids

The same cause as with bodies and heads, found in the review by reading: a head of 16 KiB may list thousands of parts, each kept as objects while its call runs and looked up for each target, or ids of 16 KiB that go into tables which are bounded by number only (the digests of parts alone, 4,096 entries). A prompt of more than 512 parts, or with an id of more than 200 bytes, is malformed now (400), as a call's id is. The users' prompts have a few parts with ids of eight digits.

Two cases of malformed headers fail on the code before.

--- a/src/yuccafold/platform/_headers.py
+++ b/src/yuccafold/platform/_headers.py
@@ -68,6 +68,9 @@
 
 MAX_ID_BYTES = 200
 
+MAX_PROMPT_PARTS = 512
+"""Parts of a prompt: each is looked up for each target, and kept while a call runs."""
+
 
 @final
 class HeaderTranslator:
@@ -177,7 +180,11 @@
     """Parse the prompt parts of ``ID:TOKENS,ID:TOKENS``."""
     if not text:
         return ()
-    parts = (part.strip().partition(":") for part in text.split(","))
+    parts = [part.strip().partition(":") for part in text.split(",")]
+    if len(parts) > MAX_PROMPT_PARTS:
+        raise ValueError(f"expected at most {MAX_PROMPT_PARTS} parts, got {len(parts)}")
+    if any(len(id) > MAX_ID_BYTES for id, _, _ in parts):
+        raise ValueError(f"expected ids of parts of at most {MAX_ID_BYTES} bytes")
     return tuple(
         PromptPart(PartId(id), _parse_count(tokens)) for id, _, tokens in parts
     )
--- a/testing/platform/test_headers.py
+++ b/testing/platform/test_headers.py
@@ -58,6 +58,8 @@
     [
         pytest.param((b"x-deadline-ms", b"soon"), id="deadline"),
         pytest.param((b"x-prompt-prefix", b"5c1e:many"), id="prompt"),
+        pytest.param((b"x-prompt-prefix", b"a:1," * 512 + b"a:1"), id="many-parts"),
+        pytest.param((b"x-prompt-prefix", b"a" * 201 + b":1"), id="long-part"),
         pytest.param((b"x-attempt-id", b""), id="attempt"),
     ],
 )
