--- a/src/yuccafold/edge/_caller.py
+++ b/src/yuccafold/edge/_caller.py
@@ -33,7 +33,7 @@
 from yuccafold.http import first_value
 from yuccafold.http import head_fault
 from yuccafold.http import memory_of
-from yuccafold.intake import SMALL_REQUEST
+from yuccafold.intake import SMALL_REQUEST_BYTES
 from yuccafold.intake import EndReason
 from yuccafold.intake import Intake
 
@@ -93,6 +93,7 @@
         self._metrics = metrics
         self._intake = intake
         self._share = intake.open(self._stop_waiting, clock.now())
+        # The scope of whatever waits for the caller now: its request, or its reading.
         self._wait_scope = trio.CancelScope()
         self._idle = True
 
@@ -272,7 +273,7 @@
                 body += event.data
                 if len(body) > limit:
                     return _too_large(limit)
-                if len(body) > SMALL_REQUEST and not is_admissible:
+                if len(body) > SMALL_REQUEST_BYTES and not is_admissible:
                     refusal = self._check_admissible(request, headers)
                     if refusal is not None:
                         return refusal
--- a/src/yuccafold/http/_stream.py
+++ b/src/yuccafold/http/_stream.py
@@ -71,8 +71,9 @@
     """A trio stream with the ``h11`` protocol state of one side of the connection.
 
     Parsing many small events takes turns: all connections together parse as many
-    between two steps of the other tasks as a single one does. Those of an answer count
-    only while it is ahead of the parser, as a stream may have any number of them.
+    between two steps of the other tasks as a single one does. The events of a request
+    are counted to its end, those of an answer from the last read on: a stream may have
+    any number of them.
     """
 
     def __init__(
--- a/src/yuccafold/intake/__init__.py
+++ b/src/yuccafold/intake/__init__.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from yuccafold.intake._connections import SMALL_REQUEST
+from yuccafold.intake._connections import SMALL_REQUEST_BYTES
 from yuccafold.intake._connections import CallerShare
 from yuccafold.intake._connections import EndReason
 from yuccafold.intake._connections import Intake
 from yuccafold.intake._limits import BYTES_PER_MEGABYTE
-from yuccafold.intake._limits import DEFAULT_MEMORY
+from yuccafold.intake._limits import DEFAULT_MEMORY_BYTES
 from yuccafold.intake._limits import MAX_CONNECTIONS
 from yuccafold.intake._limits import Bytes
 from yuccafold.intake._limits import IntakeLimits
@@ -15,9 +15,9 @@
 
 __all__ = [
     "BYTES_PER_MEGABYTE",
-    "DEFAULT_MEMORY",
+    "DEFAULT_MEMORY_BYTES",
     "MAX_CONNECTIONS",
-    "SMALL_REQUEST",
+    "SMALL_REQUEST_BYTES",
     "Bytes",
     "CallerShare",
     "EndReason",
--- a/src/yuccafold/intake/_connections.py
+++ b/src/yuccafold/intake/_connections.py
@@ -11,7 +11,7 @@
 from yuccafold.intake._limits import Bytes
 from yuccafold.intake._limits import IntakeLimits
 
-SMALL_REQUEST: Bytes = 16_384
+SMALL_REQUEST_BYTES: Bytes = 16_384
 """A request that holds no more than this is never ended to free memory."""
 
 
@@ -28,7 +28,8 @@
 class CallerShare:
     """What one connection holds of the process.
 
-    ``end`` is called at most once, to have the connection stop waiting for its caller.
+    ``silent_since`` is ``None`` while a call runs. ``end`` is called at most once, to
+    have the connection stop what it waits for.
     """
 
     __slots__ = ("_end", "end_reason", "has_backlog", "held", "silent_since")
@@ -131,7 +132,7 @@
         return chosen is not None
 
     def _free_memory(self) -> bool:
-        large = [share for share in self._shares if share.held > SMALL_REQUEST]
+        large = [share for share in self._shares if share.held > SMALL_REQUEST_BYTES]
         if len(large) < 2:
             return False
         ended = _end_most_silent(large, EndReason.MEMORY)
--- a/src/yuccafold/platform/_settings.py
+++ b/src/yuccafold/platform/_settings.py
@@ -16,7 +16,7 @@
 from yuccafold.edge import PartId
 from yuccafold.edge import SocketAddress
 from yuccafold.intake import BYTES_PER_MEGABYTE
-from yuccafold.intake import DEFAULT_MEMORY
+from yuccafold.intake import DEFAULT_MEMORY_BYTES
 from yuccafold.intake import MAX_CONNECTIONS
 from yuccafold.intake import Bytes
 from yuccafold.intake import IntakeLimits
@@ -83,7 +83,7 @@
             ),
             memory=read("callers.memory_mb", _parse_megabytes, "")
             or memory_for_callers(read("limits.memory_mb", _parse_megabytes, ""))
-            or DEFAULT_MEMORY,
+            or DEFAULT_MEMORY_BYTES,
         ),
     )
 
