--- a/src/yuccafold/edge/_responder.py
+++ b/src/yuccafold/edge/_responder.py
@@ -7,15 +7,22 @@
 from typing import final
 
 import h11
+import trio
 
 from yuccafold._clock import MS_PER_SECOND
+from yuccafold._clock import Milliseconds
 from yuccafold._verdict import Refusal
 from yuccafold.http import AnswerWriter
+from yuccafold.http import CallerGone
 from yuccafold.http import Framing
 from yuccafold.http import Headers
 from yuccafold.http import HttpStream
 from yuccafold.http import end_to_end
 
+REFUSAL_TIMEOUT = Milliseconds(15_000)
+"""How long a caller may read nothing while it is sent a refusal: as long as it may stay
+idle."""
+
 NO_CONTENT = 204
 CLOSE_HEADERS: Headers = ((b"Connection", b"close"),)
 
@@ -41,6 +48,10 @@
         """The framing of the target's answer that is relayed; ``None`` without one."""
         return self._target_framing
 
+    def close_after(self) -> None:
+        """Have the connection close after this answer."""
+        self._is_last = lambda: True
+
     def start(
         self, status: int, headers: Headers, target_framing: Framing | None = None
     ) -> None:
@@ -62,12 +73,16 @@
 
     async def refuse(self, refusal: Refusal, extra_headers: Headers = ()) -> None:
         """Send a refusal by the router as JSON."""
-        body = {"error": refusal.code, "message": refusal.reason}
+        content = {"error": refusal.code, "message": refusal.reason}
         headers: Headers = ((b"Content-Type", b"application/json"), *extra_headers)
         if refusal.retry_after_ms:
             seconds = f"{refusal.retry_after_ms / MS_PER_SECOND:.3f}"
             headers += ((b"Retry-After", seconds.encode()),)
-        await self.answer(refusal.status, headers, json.dumps(body).encode())
+        body = json.dumps(content).encode()
+        with trio.move_on_after(REFUSAL_TIMEOUT / MS_PER_SECOND) as scope:
+            await self.answer(refusal.status, headers, body)
+        if scope.cancelled_caught:
+            raise CallerGone
 
 
 def answer_headers(head: h11.Response, framing: Framing | None) -> Headers:
--- a/src/yuccafold/edge/_router.py
+++ b/src/yuccafold/edge/_router.py
@@ -5,6 +5,7 @@
 import json
 import random
 from dataclasses import replace
+from functools import partial
 from typing import final
 
 import trio
@@ -23,6 +24,7 @@
 from yuccafold.edge._gate import Gate
 from yuccafold.edge._metrics import EdgeMetrics
 from yuccafold.edge._model import CallerLimits
+from yuccafold.edge._pages import MAX_PAGE_CONNECTIONS
 from yuccafold.edge._pages import PageServer
 from yuccafold.edge._peers import PeerSource
 from yuccafold.edge._peers import ViewPage
@@ -42,13 +44,7 @@
 from yuccafold.edge.reports import FleetReports
 from yuccafold.http import ConnectionPool
 from yuccafold.http import Listener
-
-MAX_CALLER_CONNECTIONS = 1_800
-"""Limit of open caller connections; each may need another one to a target."""
-
-MAX_PAGE_CONNECTIONS = 512
-"""Limit of open connections of the load balancer, of operators and of VMs that request
-the view of a seed."""
+from yuccafold.intake import Intake
 
 FIRST_VIEW_TIMEOUT = Milliseconds(600)
 """How long calls wait in the listen backlog for the first view of the platform, before
@@ -132,6 +128,7 @@
             self._targets,
             self._metrics,
         )
+        self._intake = Intake(settings.intake)
         self._callers: set[EdgeCaller] = set()
         self._draining = trio.Event()
         self._drain_schedule: DrainSchedule | None = None
@@ -197,10 +194,12 @@
         """Serve until drained; reports the address for callers once it is bound."""
         settings = self._settings
         caller_listener = await Listener.open(
-            str(settings.callers), MAX_CALLER_CONNECTIONS
+            str(settings.callers),
+            settings.intake.connections,
+            self._intake.make_room,
         )
         pages = [
-            (await Listener.open(str(address), MAX_PAGE_CONNECTIONS), server)
+            (await server.listen(address), server)
             for address, server in self._page_servers()
         ]
         log_event(
@@ -248,7 +247,9 @@
 
     def _page_servers(self) -> list[tuple[SocketAddress, PageServer]]:
         settings = self._settings
-        servers = [(settings.readiness, PageServer(self._readiness))]
+        limit = min(settings.intake.connections, MAX_PAGE_CONNECTIONS)
+        serve_page = partial(PageServer, clock=self._clock, limit=limit)
+        servers = [(settings.readiness, serve_page(self._readiness))]
         if settings.peers is not None:
             page = ViewPage(
                 self._clock,
@@ -257,10 +258,10 @@
                 self._targets.evidence,
                 self._fleet_reports,
             )
-            servers.append((settings.peers, PageServer(page.answer)))
+            servers.append((settings.peers, serve_page(page.answer)))
         if settings.metrics_port:
             address = SocketAddress(settings.readiness.host, settings.metrics_port)
-            servers.append((address, PageServer(self._operator_page)))
+            servers.append((address, serve_page(self._operator_page)))
         return servers
 
     async def _drain_callers(self, listener: Listener) -> None:
@@ -294,6 +295,7 @@
             self._clock,
             self._rng,
             self._metrics,
+            self._intake,
         )
         self._callers.add(caller)
         try:
@@ -329,6 +331,8 @@
     def _metrics_page(self) -> tuple[int, str]:
         targets, leaving = self._view.counts()
         self._metrics.set_gauge("connections", len(self._callers))
+        self._metrics.set_gauge("connections_waiting", self._intake.waiting)
+        self._metrics.set_gauge("request_bytes", self._intake.held)
         self._metrics.set_gauge("settings_version", self._view.version)
         self._metrics.set_gauge("store_era", self._view.era)
         revision = revision_of(self._view.position)
