Take another VM's history only for targets that its sender had seen

Cause: a VM can't tell how old the targets of its first list are, so those of its first half second have no begin, which means "before the horizon". As soon as the history of another VM was merged, the horizon was 21 s back, but targets that joined within the rest of that half second still got no begin, and so counted as listed for 21 s. Where one ranked first for a prompt, its version was the only one possible.

Fix: a target has no begin only if it is listed before the horizon as it is then. Messages name the state of the store that their sender had read (those of /view did already). A history is merged only if its sender had read all that changed before the first list here, and targets listed later, by entries that it had not read, count as new. So every target and departure within the time that a history covers was seen by its source or by this VM.

test_stream_is_not_joined_at_targets_that_join_as_its_vm_restarts failed before (200 at t5, begun at t1).

--- a/src/yuccafold/edge/_history_exchange.py
+++ b/src/yuccafold/edge/_history_exchange.py
@@ -12,6 +12,8 @@
 from yuccafold._log import log_event
 from yuccafold._parsing import MALFORMED_ERRORS
 from yuccafold._parsing import parse_json
+from yuccafold.edge._positions import Position
+from yuccafold.edge._positions import revision_of
 from yuccafold.edge._target_history import MAX_ROWS
 from yuccafold.edge._target_history import TargetHistory
 
@@ -52,31 +54,38 @@
                 return fields
             max_rows //= 2
 
-    def record_answer(self, fields: Mapping[str, Any], now: Milliseconds) -> None:
-        """Merge the fields of an answer; malformed ones are logged and ignored."""
+    def record_answer(
+        self, fields: Mapping[str, Any], now: Milliseconds, seen_up_to: Position
+    ) -> None:
+        """Merge the fields of an answer; malformed ones are logged and ignored.
+
+        The other VM had seen the store's changes up to ``seen_up_to``.
+        """
         if AGE_FIELD not in fields:
             return
         try:
             self._peer_age = Milliseconds(int(fields[AGE_FIELD]))
             if ROWS_FIELD in fields:
-                rows_age = Milliseconds(int(fields[ROWS_AGE_FIELD]))
-                self._history.merge(fields[ROWS_FIELD], rows_age, now)
+                _merge(self._history, fields[ROWS_FIELD], fields, now, seen_up_to)
         except MALFORMED_ERRORS as error:
             log_event("history_malformed", error=str(error))
 
 
 def answer_history(
-    history: TargetHistory, fields: Mapping[str, str], now: Milliseconds
+    history: TargetHistory,
+    fields: Mapping[str, str],
+    now: Milliseconds,
+    seen_up_to: Position,
 ) -> dict[str, Any]:
     """Merge the rows of a request, and return the fields of the answer.
 
-    Malformed rows are logged and ignored.
+    The requesting VM had seen the store's changes up to ``seen_up_to``. Malformed rows
+    are logged and ignored.
     """
     peer_age: Milliseconds | None = None
     try:
         if ROWS_FIELD in fields:
-            rows_age = Milliseconds(int(fields[ROWS_AGE_FIELD]))
-            history.merge(parse_json(fields[ROWS_FIELD]), rows_age, now)
+            _merge(history, parse_json(fields[ROWS_FIELD]), fields, now, seen_up_to)
         if AGE_FIELD in fields:
             peer_age = Milliseconds(int(fields[AGE_FIELD]))
     except MALFORMED_ERRORS as error:
@@ -87,6 +96,24 @@
     return answer
 
 
+def _merge(
+    history: TargetHistory,
+    rows: Any,
+    fields: Mapping[str, Any],
+    now: Milliseconds,
+    seen_up_to: Position,
+) -> None:
+    """Merge the rows of a message, and log how far back they reach."""
+    rows_age = Milliseconds(int(fields[ROWS_AGE_FIELD]))
+    if history.merge(rows, rows_age, now, seen_up_to):
+        log_event(
+            "history_merged",
+            changes=len(rows),
+            reach_ms=rows_age,
+            revision=revision_of(seen_up_to),
+        )
+
+
 def _fields(
     history: TargetHistory,
     peer_age: Milliseconds | None,
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -138,7 +138,7 @@
         now = self._clock.now()
         local_report = self._evidence.topics.local_report(now)
         query = (
-            {"after": revision_of(after), "vm": self._vm}
+            {"vm": self._vm}
             | self._state_fields(after)
             | {PRESENT_FIELD: 1}
             | self._suspects.query(now)
@@ -177,7 +177,7 @@
             now = self._clock.now()
             self._suspects.record_answer(answer, now)
             self._streams.record_answer(answer, now)
-            self._history.record_answer(answer, now)
+            self._history.record_answer(answer, now, _position_of_answer(answer))
             self._newer_settings = self._settings(answer)
             return self._evidence.topics.parse(answer, now)
         except (CallFailedError, *MALFORMED_ERRORS) as error:
@@ -223,7 +223,7 @@
                 self._evidence.record_fleet_report(total, local_report, now)
                 self._suspects.record_answer(answer, now)
                 self._streams.record_answer(answer, now)
-                self._history.record_answer(answer, now)
+                self._history.record_answer(answer, now, position)
             return changes, bool(answer["whole"])
         except MALFORMED_ERRORS as error:
             raise PlatformUnavailableError(f"malformed answer: {error!r}") from error
@@ -241,6 +241,7 @@
         """Return the query fields that say which state this VM has."""
         in_force = self._table.in_force
         return {
+            "after": revision_of(after),
             "era": era_of(after),
             "settings": 0 if in_force is None else in_force.version,
         }
@@ -320,7 +321,11 @@
         local_report = self._evidence.topics.local_report(now)
         if parts.path == REPORTS_PATH:
             total = self._fleet_reports.seed_total(local_report, now)
-            fields = self._evidence.topics.format(total, now)
+            fields = {
+                "position": revision_of(self._table.position),
+                ERA_FIELD: self._table.era,
+            }
+            fields |= self._evidence.topics.format(total, now)
             fields |= self._exchanged(query, now)
             return 200, json.dumps(fields | self._newer_settings(query))
         age = self._view.age(now)
@@ -394,7 +399,9 @@
         """Merge what the requesting VM reports, and return what it lacks."""
         suspects = answer_suspects(self._evidence.quarantine, query, now)
         streams = answer_streams(self._evidence.streams, query, now)
-        return suspects | streams | answer_history(self._evidence.history, query, now)
+        seen_up_to = self._requested_position(query)
+        history = answer_history(self._evidence.history, query, now, seen_up_to)
+        return suspects | streams | history
 
     def _record_report(self, query: dict[str, str], now: Milliseconds) -> None:
         """Record the requesting VM's report on its calls."""
@@ -447,6 +454,13 @@
         return row | cached[positions]
 
 
+def _position_of_answer(answer: dict[str, Any]) -> Position:
+    """Return the state that another VM had read; one of an earlier build names none."""
+    if "position" not in answer or ERA_FIELD not in answer:
+        return START
+    return position_of(StoreEra(int(answer[ERA_FIELD])), int(answer["position"]))
+
+
 def _keys_age_of(answer: dict[str, Any]) -> Milliseconds:
     """Return the age of keys; a VM of an earlier build names that of the view only."""
     view_age = int(answer["age_ms"])
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -286,8 +286,9 @@
         if not self._follows_store or not kept_for or history.is_complete(now):
             self._has_read_past = True
             return
+        seen_up_to = self._table.position
         try:
-            past = await self._store.remembered_changes(self._table.position)
+            past = await self._store.remembered_changes(seen_up_to)
         except PlatformUnavailableError as error:
             log_event("past_not_read", detail=str(error))
             return
@@ -298,7 +299,7 @@
             if isinstance(fact, TargetRecord)
         ]
         reach = known_reach(forgotten, kept_for, self._unix_clock.now())
-        history.extend(changes, reach, now)
+        history.extend(changes, reach, now, seen_up_to)
         self._has_read_past = True
         log_event(
             "past_read",
@@ -578,7 +579,7 @@
         # The first entry of an era may be older than what this VM saw before.
         is_later = self._view.was_put_in_era(record.id)
         was_cold = self._view.cold_until(record.id) > now
-        changed = self._view.put_target(record, now, is_later)
+        changed = self._view.put_target(record, now, is_later, entry.position)
         self._log_cold(record, was_cold, now)
         if not changed:
             return
--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -21,6 +21,8 @@
 from yuccafold.edge._model import TargetGone
 from yuccafold.edge._model import TargetRecord
 from yuccafold.edge._model import TargetState
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
 
 LISTED_TOGETHER_WINDOW = Milliseconds(500)
 """Targets that a VM lists within this time of its first one may have joined before."""
@@ -56,7 +58,8 @@
 class Listing:
     """That a target was listed as ready at a software version, from when to when.
 
-    ``since`` is ``None`` if that was before the horizon of the history.
+    ``since`` is ``None`` if that was before the horizon of the history. ``position`` is
+    that of the entry with which this VM saw it begin.
     """
 
     target: TargetId
@@ -64,6 +67,7 @@
     software: SoftwareVersion
     since: Milliseconds | None
     until: Milliseconds | None = None
+    position: Position = START
 
     def overlaps(self, start: Milliseconds) -> bool:
         """Return whether the target was listed at some time after ``start``."""
@@ -112,6 +116,7 @@
         self._by_service: dict[ServiceId, list[Listing]] = {}
         self._closed: list[Listing] = []
         self._first_listed_at: Milliseconds | None = None
+        self._first_position: Position | None = None
         self._horizon: Milliseconds | None = None
         self._gap: HistoryGap | None = None
 
@@ -190,8 +195,14 @@
             began_at = min(began_at, self._gap.began_at)
         self._gap = HistoryGap(began_at, now)
 
-    def record(self, target: TargetRecord, now: Milliseconds) -> None:
-        """Record a target's entry in the platform's list."""
+    def record(
+        self, target: TargetRecord, now: Milliseconds, position: Position = START
+    ) -> None:
+        """Record a target's entry of ``position`` in the platform's list.
+
+        It may have been listed for long only if it is read before the horizon. Once the
+        horizon was moved back by what others know, they have not seen this target.
+        """
         if target.state is not TargetState.READY:
             self.remove(target.id, now)
             return
@@ -203,13 +214,22 @@
             if (listing.service, listing.software) == (target.service, target.software):
                 return
             self.remove(target.id, now)
-        is_first = now - self._first_listed_at < LISTED_TOGETHER_WINDOW
+        is_before_horizon = self._horizon is not None and now < self._horizon
+        since = None if is_before_horizon else now
         listing = Listing(
-            target.id, target.service, target.software, None if is_first else now
+            target.id, target.service, target.software, since, position=position
         )
         self._open[target.id] = listing
         self._by_service.setdefault(target.service, []).append(listing)
 
+    def record_position(self, position: Position) -> None:
+        """Record up to which state of the store this VM has read.
+
+        It knows of all that changed since the first one at which it listed targets.
+        """
+        if self._first_position is None and self._first_listed_at is not None:
+            self._first_position = position
+
     def remove(self, target: TargetId, now: Milliseconds) -> None:
         """Record that a target drains or that its entry was removed."""
         listing = self._open.pop(target, None)
@@ -260,32 +280,45 @@
         return [_row(listing, now) for _, listing in changed], age
 
     def merge(
-        self, rows: Iterable[Sequence[Any]], age: Milliseconds, now: Milliseconds
-    ) -> None:
+        self,
+        rows: Iterable[Sequence[Any]],
+        age: Milliseconds,
+        now: Milliseconds,
+        seen_up_to: Position,
+    ) -> bool:
         """Add what another VM saw, if its history reaches back further than this one.
 
+        It had seen the store's changes up to ``seen_up_to``. If those before the first
+        list of this VM are not all among them, nobody here knows which targets left in
+        between, and nothing is added. Returns whether anything was.
         Raises ``ValueError`` or ``TypeError`` if a row is malformed.
         """
         reported = [_listing(row, now) for row in rows]
         horizon = Milliseconds(now - age)
         if self.horizon is None or horizon >= self.horizon:
-            return
+            return False
+        if self._first_position is not None and seen_up_to < self._first_position:
+            return False
+        self._limit_unseen(seen_up_to, now)
         for listing in reported:
             self._merge_listing(listing, now)
         is_closed = self._gap is not None and horizon <= self._gap.began_at
         self._horizon = min(horizon, self._horizon or horizon) if is_closed else horizon
         self._gap = None
         self._forget_closed(now)
+        return True
 
     def extend(
         self,
         changes: Iterable[TargetRecord | TargetGone],
         reach: Milliseconds,
         now: Milliseconds,
+        seen_up_to: Position = START,
     ) -> None:
         """Add the changes that the platform remembers, in order.
 
-        They are all of the last ``reach``; with 0, others may be missing. Changes bear
+        They are all of the last ``reach`` up to the position ``seen_up_to``, which this
+        VM had read when it asked; with 0, others may be missing. Changes bear
         no time. So a target that left counts as listed until now, and one that changed
         as listed since now.
         """
@@ -305,6 +338,7 @@
         for target, record in left.items():
             self._add_departure(target, record, now)
         if reach:
+            self._limit_unseen(seen_up_to, now)
             self._horizon = Milliseconds(min(self._horizon, now - reach))
 
     def departed_rows(self, now: Milliseconds) -> list[list[str | int]]:
@@ -315,6 +349,18 @@
             if listing.until is not None
         ]
 
+    def _limit_unseen(self, seen_up_to: Position, now: Milliseconds) -> None:
+        """Count targets that the source of a history had not seen as listed lately.
+
+        That is called before the horizon moves back: they were listed before the
+        present one, but the source can't tell whether they were before its own.
+        """
+        for listing in self._open.values():
+            if listing.since is None and listing.position > seen_up_to:
+                listing.since = (
+                    now if self._horizon is None else min(now, self._horizon)
+                )
+
     def _add_departure(
         self, target: TargetId, record: TargetRecord | None, now: Milliseconds
     ) -> None:
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -167,6 +167,7 @@
         ``is_last`` is false if more changes are known to follow.
         """
         self._position = position
+        self._history.record_position(position)
         if is_last:
             self._is_first_read_of_era = False
 
@@ -283,9 +284,15 @@
         return catalogue == self._catalogue
 
     def put_target(
-        self, record: TargetRecord, now: Milliseconds, is_later: bool = False
+        self,
+        record: TargetRecord,
+        now: Milliseconds,
+        is_later: bool = False,
+        position: Position = START,
     ) -> bool:
-        """Store a target's record; return whether that changed anything.
+        """Store a target's record, of an entry of ``position``.
+
+        Returns whether that changed anything.
 
         A record of an earlier start of the target is ignored, unless it ``is_later``:
         known to be written after the one before, by a target whose clock was set back.
@@ -312,7 +319,7 @@
             first_seen_at = now
         entry = KnownTarget(record, first_seen_at, leaving_since, era=self.era)
         entry.cold_until = self._cold_until(record, known, now)
-        self._history.record(record, now)
+        self._history.record(record, now, position)
         changed |= self._hold_departure(entry, now)
         self._targets[record.id] = entry
         self._rebuild_index()
--- a/testing/edge/test_fleet_restarts.py
+++ b/testing/edge/test_fleet_restarts.py
@@ -64,6 +64,34 @@
     run()
 
 
+NEW_TARGETS = 6
+JOIN_GAP_S = 0.08
+
+
+@on_trio
+async def test_stream_is_not_joined_at_targets_that_join_as_its_vm_restarts():
+    """The VM took the targets of its first half second for as old as the history
+    that another VM had sent it."""
+    async with running_fleet(VM_COUNT, *FOUR_OF_TWO[:1]) as fleet:
+        await trio.sleep(0.5)
+        fleet.complete_histories()
+        began = [
+            await break_off(fleet, fleet.vms[number % VM_COUNT], number)
+            for number in range(STREAMS)
+        ]
+        restarted = [fleet.vms[2], fleet.vms[4]]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(restart_together, restarted)
+            for _ in range(NEW_TARGETS):
+                await trio.sleep(JOIN_GAP_S)
+                await fleet.nursery.start(fleet._serve_target, {"version": "v2"})
+        await trio.sleep(1.0)
+        for number, (attempt, began_at) in enumerate(began):
+            for vm in restarted:
+                status, _, places = await take_up(fleet, vm, attempt, number)
+                assert (status, places) in [(200, [began_at]), (503, [])]
+
+
 HISTORY_MS = 20_000
 
 
--- a/testing/edge/test_request_sizes.py
+++ b/testing/edge/test_request_sizes.py
@@ -24,6 +24,7 @@
 from yuccafold.edge._entries import EntryTable
 from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._peers import PeerSource
+from yuccafold.edge._positions import START
 from yuccafold.edge._stream_versions import StreamBegin
 from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._stream_versions import stream_key
@@ -131,5 +132,5 @@
     assert max(since_age for _, _, _, since_age, _ in rows) <= rows_age
     other = TargetHistory()
     other.record(target("t1", software="v1"), NOW)
-    other.merge(rows, Milliseconds(rows_age), NOW)
+    other.merge(rows, Milliseconds(rows_age), NOW, START)
     assert other.age(NOW) == rows_age
--- a/testing/edge/test_stream_origins.py
+++ b/testing/edge/test_stream_origins.py
@@ -34,6 +34,7 @@
 from yuccafold.edge._history_exchange import answer_history
 from yuccafold.edge._model import TargetGone
 from yuccafold.edge._placement import rank
+from yuccafold.edge._positions import START
 from yuccafold.edge._stream_exchange import StreamExchange
 from yuccafold.edge._stream_exchange import answer_streams
 from yuccafold.edge._stream_versions import MAX_ROWS
@@ -384,8 +385,8 @@
     assert fresh.origin(call, at(20_600)).source is OriginSource.UNKNOWN
     exchange = HistoryExchange(fresh._view.history)
     query = {name: str(value) for name, value in exchange.query(at(20_700)).items()}
-    answer = answer_history(old._view.history, query, at(20_700))
-    exchange.record_answer(answer, at(20_700))
+    answer = answer_history(old._view.history, query, at(20_700), START)
+    exchange.record_answer(answer, at(20_700), START)
     for key in began_at_v1:
         possible = possible_versions(fresh._view.history, DESK, key, at(20_800))
         assert possible is None or V1 in possible
--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -25,6 +25,11 @@
 from yuccafold.edge._history_exchange import HistoryExchange
 from yuccafold.edge._history_exchange import answer_history
 from yuccafold.edge._model import TargetGone
+from yuccafold.edge._positions import FIRST_ERA
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
+from yuccafold.edge._positions import StoreEra
+from yuccafold.edge._positions import position_of
 from yuccafold.edge._target_history import MAX_CLOSED_LISTINGS
 from yuccafold.edge._target_history import MAX_ROWS
 from yuccafold.edge._target_history import UNKNOWN_SOFTWARE
@@ -73,7 +78,9 @@
     for _ in range(2):
         query = {name: str(value) for name, value in exchange.query(at(now)).items()}
         exchange.record_answer(
-            json.loads(json.dumps(answer_history(answering, query, at(now)))), at(now)
+            json.loads(json.dumps(answer_history(answering, query, at(now), START))),
+            at(now),
+            START,
         )
 
 
@@ -124,9 +131,9 @@
     fresh = just_started()
     exchange = HistoryExchange(fresh)
     exchange.query(at(STARTED_AT + 500))
-    exchange.record_answer({"departed": [], "age_ms": 3}, at(STARTED_AT + 500))
+    exchange.record_answer({"departed": [], "age_ms": 3}, at(STARTED_AT + 500), START)
     assert found(fresh, STARTED_AT + 1_000) == [None] * 20
-    answer = answer_history(long_running(), {"departed": "1"}, at(STARTED_AT))
+    answer = answer_history(long_running(), {"departed": "1"}, at(STARTED_AT), START)
     assert ["t0", DESK, V1, 1_000] in answer["departed"]
 
 
@@ -140,7 +147,7 @@
     assert len(rows) == MAX_ROWS
     assert age < 5 * MAX_ROWS + 5
     fresh = just_started()
-    fresh.merge(rows, age, at(STARTED_AT))
+    fresh.merge(rows, age, at(STARTED_AT), START)
     assert found(fresh, STARTED_AT + 1_000) == [None] * 20
 
 
@@ -156,7 +163,7 @@
 def test_malformed_history_is_ignored(rows):
     history = just_started()
     query = {"history_age_ms": "90000", "history": rows, "history_rows_age_ms": "90000"}
-    answer = answer_history(history, query, at(STARTED_AT + 1_000))
+    answer = answer_history(history, query, at(STARTED_AT + 1_000), START)
     assert answer == {"history_age_ms": 500}
     assert not history.is_complete(at(STARTED_AT + 1_000))
 
@@ -223,7 +230,7 @@
     now = at(STARTED_AT + 1_000)
     key = PartId("p1")
     assert choose_version(fresh, DESK, key, now) == ANY_VERSION
-    fresh.merge([], at(90_000), now)
+    fresh.merge([], at(90_000), now, START)
     assert choose_version(fresh, DESK, key, now) == NO_VERSION
     later = at(STARTED_AT + 2_001)
     assert choose_version(fresh, DESK, key, later).version
@@ -246,6 +253,80 @@
     assert {V1, V2} in found(fresh, now)
 
 
+OLD = tuple((number, V1) for number in range(4))
+NEW = tuple((number, V2) for number in range(4, 8))
+OLD_LISTED_AT = Position(13)
+"""A state of the store in which the targets of V1 are listed, and none of V2."""
+
+
+def listed(*targets, is_later=False):
+    """Return the history of a VM that has read the entries of these targets.
+
+    ``is_later``: all but those of V1 were read after its first list.
+    """
+    history = TargetHistory()
+    for number, version in targets:
+        if is_later and version == V2:
+            history.record_position(OLD_LISTED_AT)
+        record = target(f"t{number}", software=version)
+        history.record(record, at(STARTED_AT), Position(10 + number))
+    history.record_position(Position(10 + targets[-1][0]))
+    return history
+
+
+def test_target_that_the_sender_of_a_history_had_not_seen_may_be_new():
+    """Streams of V1 went on at V2, whose targets counted as listed for all the past."""
+    fresh = listed(*OLD, *NEW, is_later=True)
+    assert fresh.merge([], at(90_000), at(STARTED_AT + 10), OLD_LISTED_AT)
+    versions = found(fresh, STARTED_AT + 1_000)
+    assert {V1} in versions
+    assert {V1, V2} in versions
+    assert {V2} not in versions
+
+
+def test_target_that_joins_right_after_a_history_was_merged_is_new():
+    """Streams of V1 went on at V2, whose targets joined as a VM listed the others."""
+    fresh = listed(*OLD)
+    assert fresh.merge([], at(90_000), at(STARTED_AT + 10), OLD_LISTED_AT)
+    for number, version in NEW:
+        record = target(f"t{number}", software=version)
+        fresh.record(record, at(STARTED_AT + 20), Position(10 + number))
+    versions = found(fresh, STARTED_AT + 1_000)
+    assert {V1} in versions
+    assert {V2} not in versions
+
+
+def test_target_that_joins_while_the_past_is_read_from_the_store_is_new():
+    """Streams of V1 went on at V2, which joined after the store was asked."""
+    fresh = listed(*OLD, *NEW, is_later=True)
+    fresh.extend([], REACH, at(STARTED_AT + 100), OLD_LISTED_AT)
+    versions = found(fresh, STARTED_AT + 1_000)
+    assert {V1} in versions
+    assert {V2} not in versions
+
+
+def test_target_that_left_unseen_by_the_sender_of_a_history_is_not_forgotten():
+    """Streams of V1 went on at V2: its targets left before a VM that started listed the
+    others, and the VM that sent its history had not seen that yet."""
+    fresh = listed(*NEW)
+    now = STARTED_AT + 10
+    assert not fresh.merge([], at(90_000), at(now), Position(16))
+    assert found(fresh, now) == [None] * 20
+    left = [[f"t{number}", DESK, V1, None, 200] for number, _ in OLD]
+    assert fresh.merge(left, at(90_000), at(now), Position(17))
+    versions = found(fresh, now)
+    assert {V1, V2} in versions
+    assert {V1} not in versions
+
+
+@pytest.mark.parametrize("seen_up_to", [START, position_of(FIRST_ERA, 90)])
+def test_history_of_an_unknown_state_or_an_earlier_era_is_not_taken(seen_up_to):
+    fresh = history_of(V1, STARTED_AT)
+    fresh.record_position(position_of(StoreEra(2), 20))
+    assert not fresh.merge([], at(90_000), at(STARTED_AT + 10), seen_up_to)
+    assert found(fresh, STARTED_AT + 1_000) == [None] * 20
+
+
 def behind_at(now):
     """Return histories of a VM that saw all, and of one that has just caught up."""
     old, late = history_of(V1, 0), history_of(V1, 0)
