Choose versions by when targets started, which VMs know after a restart, too

Cause: the version of a stream is computed again from when targets were listed and when the stream began. After a restart of all VMs neither is known: the store remembers which targets joined in the last 20 s, not when, and a call that takes a stream up names no time. So a target that joined counted as possible for streams that were older than it.

Fix: a choice rests on times that anybody can tell later: the start of a target, by its entry, and the end of the caller's wait, which is the same in all of its calls. A stream begins at a target that started by that end, less the route's timeout, less the lag; a VM that takes it up leaves out targets that started later. It doesn't matter when the stream began within the caller's wait, so later calls of a caller that was refused first are right as well. protocol_3 says whether all VMs choose so; nothing is left out until they do. As starts count now, a target that started again under its id is told apart: its forgotten entry counts as of unknown version.

The stand-in of the store names the revision at which a key was created, as the platform does.

--- a/src/yuccafold/edge/_platform_source.py
+++ b/src/yuccafold/edge/_platform_source.py
@@ -108,10 +108,14 @@
 @final
 @dataclass(frozen=True, slots=True)
 class RememberedChanges:
-    """The changes of targets that the store remembers: all those after ``after``."""
+    """The changes of targets that the store remembers: all those after ``after``.
+
+    ``earlier`` are the keys that were there before their first change among these.
+    """
 
     entries: tuple[Entry, ...]
     after: Position
+    earlier: frozenset[str] = frozenset()
 
 
 class RememberingSource(PlatformSource, Protocol):
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -131,6 +131,8 @@
     ) -> None:
         self._clock = clock
         self._unix_clock = unix_clock
+        # Taken once, as the time of day may jump.
+        self._unix_ahead = unix_clock.now() - clock.now()
         self._rng = rng
         self._store = store
         self._max_peer_view_age = Milliseconds(
@@ -299,7 +301,13 @@
             if isinstance(fact, TargetRecord)
         ]
         reach = known_reach(forgotten, kept_for, self._unix_clock.now())
-        history.extend(changes, reach, now, seen_up_to)
+        earlier = [
+            fact.id
+            for entry in past.entries
+            if entry.key in past.earlier
+            and isinstance(fact := self._decode(entry), TargetRecord)
+        ]
+        history.extend(changes, reach, self._clock.now(), seen_up_to, earlier)
         self._has_read_past = True
         log_event(
             "past_read",
@@ -579,7 +587,11 @@
         # The first entry of an era may be older than what this VM saw before.
         is_later = self._view.was_put_in_era(record.id)
         was_cold = self._view.cold_until(record.id) > now
-        changed = self._view.put_target(record, now, is_later, entry.position)
+        born_ms = record.born_ms
+        started_at = Milliseconds(born_ms - self._unix_ahead) if born_ms else None
+        changed = self._view.put_target(
+            record, now, is_later, entry.position, started_at
+        )
         self._log_cold(record, was_cold, now)
         if not changed:
             return
--- a/src/yuccafold/edge/_stream_versions.py
+++ b/src/yuccafold/edge/_stream_versions.py
@@ -23,6 +23,8 @@
 from yuccafold.edge._model import PartId
 from yuccafold.edge._model import RouteName
 from yuccafold.edge._model import SoftwareVersion
+from yuccafold.edge.reports import ProtocolTopic
+from yuccafold.edge.reports import VmReport
 
 StreamKey = NewType("StreamKey", str)
 """Identifies a stream among VMs: a digest of the call that brought its first event."""
@@ -97,6 +99,7 @@
         self._position = NOTHING_REPORTED
         self._running: set[StreamKey] = set()
         self._reports_since: Milliseconds | None = None
+        self._chosen_otherwise_until: Milliseconds | None = None
 
     @property
     def epoch(self) -> str:
@@ -113,6 +116,16 @@
         """Record how far back the reports of another VM reach, which sends them all."""
         self._reports_since = Milliseconds(now - max(age, self.reports_age(now)))
 
+    def record_builds(self, all_choose_alike: bool, now: Milliseconds) -> None:
+        """Record whether there are VMs that don't go by the starts of targets."""
+        if not all_choose_alike:
+            self._chosen_otherwise_until = now
+
+    def may_be_chosen_otherwise(self, since: Milliseconds) -> bool:
+        """Return whether there were such VMs after ``since``."""
+        until = self._chosen_otherwise_until
+        return until is not None and until >= since
+
     def begin(self, key: StreamKey, stream: StreamBegin, now: Milliseconds) -> bool:
         """Record a stream's first event; return whether it is reported to other VMs."""
         self._own[key] = (stream, now)
@@ -238,3 +251,17 @@
             *list(self._reported)[: len(self._reported) - MAX_STREAMS],
         ]:
             self._reported.pop(key, None)
+
+
+@final
+class VersionChoiceTopic(ProtocolTopic):
+    """The number of VMs that go by the starts of targets to choose versions."""
+
+    name = "protocol_3"
+
+    def __init__(self, streams: StreamVersions) -> None:
+        self._streams = streams
+
+    def record(self, total: VmReport, local_part: VmReport, now: Milliseconds) -> None:
+        """Record whether all VMs do."""
+        self._streams.record_builds(self.is_spoken_by_all(total), now)
--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -28,6 +28,7 @@
 from yuccafold.edge._version_choice import VersionChoice
 from yuccafold.edge._version_choice import choice_key
 from yuccafold.edge._version_choice import choose_version
+from yuccafold.edge._version_choice import latest_start
 from yuccafold.edge._version_choice import possible_versions
 from yuccafold.edge._view import PlatformView
 from yuccafold.edge.split import RouteServices
@@ -73,6 +74,7 @@
         self._history = view.history
         self._versions = StreamVersions(epoch, self._is_evident)
         self._caller_times: dict[RouteName, Milliseconds] = {}
+        self._shortest_timeouts: dict[RouteName, Milliseconds] = {}
         self._route_services = RouteServices()
 
     @property
@@ -86,7 +88,13 @@
         return self._route_services
 
     def apply_catalogue(self, catalogue: Catalogue, now: Milliseconds) -> None:
-        """Apply the services of routes that are in force from now on."""
+        """Apply the services and timeouts of routes that are in force from now on."""
+        self._shortest_timeouts |= {
+            route.name: min(
+                route.timeout, self._shortest_timeouts.get(route.name, route.timeout)
+            )
+            for route in catalogue.routes
+        }
         self._route_services.apply(catalogue, now, self._history.window)
 
     def choose_service(self, head: CallHead, route: Route) -> ServiceId:
@@ -106,7 +114,10 @@
         """Return the versions that ``call`` may begin at."""
         if call.repeatability is not Repeatability.RESUMABLE or call.head.takes_up:
             return ANY_VERSION
-        return choose_version(self._history, call.service, choice_key(call.head), now)
+        started_by = self._latest_start(call, call.admitted.route.timeout)
+        return choose_version(
+            self._history, call.service, choice_key(call.head), now, started_by
+        )
 
     def may_begin_in(self, call: Call, now: Milliseconds) -> Milliseconds:
         """Return after which time ``call`` may begin here; 0 if it may now."""
@@ -120,7 +131,8 @@
         if not call.head.takes_up:
             self._record_caller_time(call)
             return NEW_STREAM
-        origin = self._find_origin(call, now)
+        started_by = self._latest_usual_start(call, now)
+        origin = self._find_origin(call, now, started_by)
         log_event(
             "stream_taken_up",
             call=call.head.id,
@@ -130,6 +142,7 @@
             software=origin.version,
             known_by=origin.source.value,
             history_ms=self._history.age(now),
+            started_ago_ms=None if started_by is None else now - started_by,
             view_age_ms=self._view.age(now),
         )
         return origin
@@ -175,7 +188,9 @@
         if call.repeatability is Repeatability.RESUMABLE and key is not None:
             self._versions.end(stream_key(key), is_whole, now)
 
-    def _find_origin(self, call: Call, now: Milliseconds) -> StreamOrigin:
+    def _find_origin(
+        self, call: Call, now: Milliseconds, started_by: Milliseconds | None
+    ) -> StreamOrigin:
         if not self._is_at_its_service(call, now):
             return UNKNOWN_STREAM
         if call.head.resumes is not None:
@@ -193,6 +208,7 @@
             choice_key(call.head),
             now,
             self._max_stream_age(call),
+            started_by,
         )
         is_fresh = age is not None and age <= self._history.lag
         if possible is not None and len(possible) == 1 and is_fresh:
@@ -234,6 +250,27 @@
             return self._history.stream_time
         return Milliseconds(longest - call.head.deadline)
 
+    def _latest_usual_start(self, call: Call, now: Milliseconds) -> Milliseconds | None:
+        """Return by when targets that the stream of ``call`` may be at had to start.
+
+        ``None`` if the caller doesn't say how long it waits, or if VMs of earlier
+        builds, which don't go by that, may have begun the stream.
+        """
+        window = self._history.window_of(self._max_stream_age(call))
+        if not call.head.deadline or self._versions.may_be_chosen_otherwise(
+            Milliseconds(now - window)
+        ):
+            return None
+        route = call.admitted.route
+        timeout = self._shortest_timeouts.get(route.name, route.timeout)
+        return self._latest_start(call, timeout)
+
+    def _latest_start(self, call: Call, timeout: Milliseconds) -> Milliseconds:
+        waits_for = call.head.deadline or timeout
+        return latest_start(
+            Milliseconds(call.arrived_at + waits_for), timeout, self._history.lag
+        )
+
     def _is_evident(self, stream: StreamBegin, now: Milliseconds) -> bool:
         possible = possible_versions(self._history, stream.service, stream.key, now)
         return possible == {stream.version} and self._route_services.is_evident(
--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -49,6 +50,9 @@
 CLOCK_TOLERANCE = Milliseconds(1_000)
 """How far the clocks of targets and VMs usually differ."""
 
+CALL_DELAY_TOLERANCE = Milliseconds(1_000)
+"""How long calls are usually on their way; callers state their time as they send."""
+
 GAP_CLOSING_TIME = Milliseconds(500)
 """Within this time another VM usually tells what changed in a gap."""
 
@@ -59,7 +63,8 @@
     """That a target was listed as ready at a software version, from when to when.
 
     ``since`` is ``None`` if that was before the horizon of the history. ``position`` is
-    that of the entry with which this VM saw it begin.
+    that of the entry with which this VM saw it begin, and ``started_at`` the start of
+    the target by that entry, if it is known.
     """
 
     target: TargetId
@@ -68,6 +73,7 @@
     since: Milliseconds | None
     until: Milliseconds | None = None
     position: Position = START
+    started_at: Milliseconds | None = None
 
     def overlaps(self, start: Milliseconds) -> bool:
         """Return whether the target was listed at some time after ``start``."""
@@ -83,6 +89,20 @@
             self.until is None or self.until > at
         )
 
+    def is_of_start_after(self, at: Milliseconds) -> bool:
+        """Return whether the target is known to have started after this time."""
+        return self.started_at is not None and self.started_at > at
+
+    def may_be_listed_by(self, at: Milliseconds) -> bool:
+        """Return whether the target may have been listed at this time or before.
+
+        Its start tells, by clocks that differ, if it isn't known when it was listed.
+        """
+        if self.since is None or self.since <= at:
+            return True
+        tolerance = CLOCK_TOLERANCE + CALL_DELAY_TOLERANCE
+        return not self.is_of_start_after(Milliseconds(at + tolerance))
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -196,10 +216,15 @@
         self._gap = HistoryGap(began_at, now)
 
     def record(
-        self, target: TargetRecord, now: Milliseconds, position: Position = START
+        self,
+        target: TargetRecord,
+        now: Milliseconds,
+        position: Position = START,
+        started_at: Milliseconds | None = None,
     ) -> None:
         """Record a target's entry of ``position`` in the platform's list.
 
+        It started at ``started_at`` by its own word; later than now can't be right.
         It may have been listed for long only if it is read before the horizon. Once the
         horizon was moved back by what others know, they have not seen this target.
         """
@@ -216,8 +241,15 @@
             self.remove(target.id, now)
         is_before_horizon = self._horizon is not None and now < self._horizon
         since = None if is_before_horizon else now
+        if started_at is not None and started_at > now + CLOCK_TOLERANCE:
+            started_at = None
         listing = Listing(
-            target.id, target.service, target.software, since, position=position
+            target.id,
+            target.service,
+            target.software,
+            since,
+            position=position,
+            started_at=started_at,
         )
         self._open[target.id] = listing
         self._by_service.setdefault(target.service, []).append(listing)
@@ -314,16 +346,25 @@
         reach: Milliseconds,
         now: Milliseconds,
         seen_up_to: Position = START,
+        earlier: Collection[TargetId] = (),
     ) -> None:
         """Add the changes that the platform remembers, in order.
 
         They are all of the last ``reach`` up to the position ``seen_up_to``, which this
         VM had read when it asked; with 0, others may be missing. Changes bear
         no time. So a target that left counts as listed until now, and one that changed
-        as listed since now.
+        as listed since now. ``earlier`` are the targets that had an entry before their
+        first change. Those that started since have left in between: their entry of then
+        is not remembered.
         """
         if self._horizon is None:
             return
+        restarted = [
+            target
+            for target in earlier
+            if (listing := self._open.get(target)) is not None
+            and listing.is_of_start_after(Milliseconds(now - reach - CLOCK_TOLERANCE))
+        ]
         left: dict[TargetId, TargetRecord | None] = {}
         for change in changes:
             if isinstance(change, TargetGone):
@@ -337,6 +378,8 @@
                 left[change.id] = change
         for target, record in left.items():
             self._add_departure(target, record, now)
+        for target in restarted:
+            self._add_departure(target, None, now)
         if reach:
             self._limit_unseen(seen_up_to, now)
             self._horizon = Milliseconds(min(self._horizon, now - reach))
@@ -360,6 +403,7 @@
                 listing.since = (
                     now if self._horizon is None else min(now, self._horizon)
                 )
+                listing.started_at = None
 
     def _add_departure(
         self, target: TargetId, record: TargetRecord | None, now: Milliseconds
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -7,6 +7,12 @@
 
 VMs see a change of the targets at different times, up to the lag. So a choice goes by
 the targets that were listed the lag before, which by then all VMs in touch have seen.
+
+A VM that starts with all others knows which targets joined lately, but not when, nor
+when a stream began. It knows when targets started, and when the caller stops waiting,
+which is the same in all calls for a stream. So a choice prefers targets that started
+before a time that follows from the caller's. Those that started later can be left out
+when the stream is taken up.
 """
 
 from __future__ import annotations
@@ -52,11 +58,29 @@
     return PartId(head.resumes or head.id)
 
 
+def latest_start(
+    caller_waits_until: Milliseconds, timeout: Milliseconds, lag: Milliseconds
+) -> Milliseconds:
+    """Return by when a target has to have started for a caller's stream to begin there.
+
+    A caller that gives its first call the route's whole ``timeout``, as most do, finds
+    all targets that started the lag before.
+    """
+    return Milliseconds(caller_waits_until - timeout - lag)
+
+
 def choose_version(
-    history: TargetHistory, service: ServiceId, key: PartId, now: Milliseconds
+    history: TargetHistory,
+    service: ServiceId,
+    key: PartId,
+    now: Milliseconds,
+    started_by: Milliseconds | None = None,
 ) -> VersionChoice:
     """Return where a new stream with this key may begin.
 
+    Targets that started after ``started_by`` are used only if no version with others
+    is left.
+
     A VM that just started can't tell which targets other VMs have not seen yet. Unless
     they all started, it begins no streams where there are several versions. Nor does
     one that has just caught up with the others.
@@ -66,8 +90,18 @@
         return ANY_VERSION
     if history.is_behind(now):
         return NO_VERSION
+    present = {listing.software for listing in listings if listing.until is None}
+    preferred = [
+        listing
+        for listing in listings
+        if listing.software in present
+        and (started_by is None or not listing.is_of_start_after(started_by))
+    ]
     if history.has_just_started(now):
-        return NO_VERSION if history.is_complete(now) else ANY_VERSION
+        if history.is_complete(now):
+            return NO_VERSION
+        versions = {listing.software for listing in preferred}
+        return VersionChoice(versions.pop()) if len(versions) == 1 else ANY_VERSION
     seen_by_all = [
         listing
         for listing in listings
@@ -75,7 +109,8 @@
     ]
     if not seen_by_all:
         return ANY_VERSION
-    return VersionChoice(_ranked(key, seen_by_all)[0].software)
+    usual = [listing for listing in seen_by_all if listing in preferred]
+    return VersionChoice(_ranked(key, usual or seen_by_all)[0].software)
 
 
 def possible_versions(
@@ -84,17 +119,23 @@
     key: PartId,
     now: Milliseconds,
     stream_age: Milliseconds | None = None,
+    started_by: Milliseconds | None = None,
 ) -> set[SoftwareVersion] | None:
     """Return the versions at which a stream with this key may have begun.
 
-    It is at most ``stream_age`` old, if that is given. Returns ``None`` if this VM
-    doesn't know all targets of that time.
+    It is at most ``stream_age`` old, if that is given, and was begun by VMs that prefer
+    targets which started by ``started_by``. Returns ``None`` if this VM doesn't know
+    all targets of that time.
     """
     window = history.window if stream_age is None else history.window_of(stream_age)
     if not history.is_complete(now, window):
         return None
     start = Milliseconds(now - window)
-    listings = history.listings(service, start)
+    listings = [
+        listing
+        for listing in history.listings(service, start)
+        if started_by is None or listing.may_be_listed_by(started_by)
+    ]
     if not any(listing.covers(start) for listing in listings):
         return None
     versions = {listing.software for listing in listings}
--- a/src/yuccafold/edge/_view.py
+++ b/src/yuccafold/edge/_view.py
@@ -289,9 +289,12 @@
         now: Milliseconds,
         is_later: bool = False,
         position: Position = START,
+        started_at: Milliseconds | None = None,
     ) -> bool:
         """Store a target's record, of an entry of ``position``.
 
+        ``started_at`` is the start of the target by this VM's clock, if it is known.
+
         Returns whether that changed anything.
 
         A record of an earlier start of the target is ignored, unless it ``is_later``:
@@ -319,7 +322,7 @@
             first_seen_at = now
         entry = KnownTarget(record, first_seen_at, leaving_since, era=self.era)
         entry.cold_until = self._cold_until(record, known, now)
-        self._history.record(record, now, position)
+        self._history.record(record, now, position, started_at)
         changed |= self._hold_departure(entry, now)
         self._targets[record.id] = entry
         self._rebuild_index()
--- a/src/yuccafold/edge/_vm_reports.py
+++ b/src/yuccafold/edge/_vm_reports.py
@@ -39,6 +39,7 @@
 from yuccafold.edge._quarantine import Quarantine
 from yuccafold.edge._reach import Reach
 from yuccafold.edge._stream_versions import StreamVersions
+from yuccafold.edge._stream_versions import VersionChoiceTopic
 from yuccafold.edge._target_history import TargetHistory
 from yuccafold.edge._target_limits import LimitDemand
 from yuccafold.edge._target_limits import LimitNotices
@@ -358,6 +359,7 @@
                 *sharing_topics(self.sharing),
                 MovesTopic(self.work.moved),
                 ServiceChoiceTopic(self.route_services),
+                VersionChoiceTopic(self.streams),
             ]
         )
         object.__setattr__(self, "topics", topics)
--- a/src/yuccafold/platform/_store.py
+++ b/src/yuccafold/platform/_store.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import re
+from collections.abc import Iterable
 from typing import TypeVar
 from typing import final
 from urllib.parse import urlencode
@@ -139,6 +140,7 @@
         How far back that is can't be asked, so it is found by a search.
         """
         known, forgotten = revision_of(until), -1
+        items: list[JsonObject] = []
         entries: tuple[Entry, ...] = ()
         while known > 0 and known - forgotten > 1:
             if forgotten < 0:
@@ -153,8 +155,10 @@
                 forgotten = after
                 continue
             known = after
-            entries = tuple(_entry(item, era) for item in _items(answer, "events"))
-        return RememberedChanges(entries, position_of(era_of(until), known))
+            items = _items(answer, "events")
+            entries = tuple(_entry(item, era) for item in items)
+        after = position_of(era_of(until), known)
+        return RememberedChanges(entries, after, _keys_from_before(items))
 
     async def close(self) -> None:
         """Close the connections to the store."""
@@ -228,6 +232,16 @@
         raise PlatformUnavailableError(f"malformed answer: {error}") from error
 
 
+def _keys_from_before(items: Iterable[JsonObject]) -> frozenset[str]:
+    """Return the keys whose first change in ``items`` doesn't create them."""
+    first = {str(item.get("key")): item for item in reversed(list(items))}
+    return frozenset(
+        key
+        for key, item in first.items()
+        if item.get("removed") is True or item.get("create_rev") != item["revision"]
+    )
+
+
 def _entry(item: JsonObject, era: StoreEra) -> Entry:
     key = _required_field(item, "key", str)
     revision = _revision(item, "revision")
--- a/src/yuccafold/standins/_platform_store.py
+++ b/src/yuccafold/standins/_platform_store.py
@@ -39,11 +39,15 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StoredChange:
-    """One write, or one removal if ``value`` is ``None``."""
+    """One write, or one removal if ``value`` is ``None``.
+
+    ``created`` is the revision at which the key was written first.
+    """
 
     key: str
     revision: int
     value: bytes | None
+    created: int
 
     def as_json(self) -> dict[str, Any]:
         """Return the JSON of the change, as in lists and watch answers."""
@@ -54,7 +58,7 @@
             "key": self.key,
             "value": text,
             "revision": self.revision,
-            "create_rev": self.revision,
+            "create_rev": self.created,
             "lease": 0,
         }
 
@@ -170,7 +174,9 @@
 
     def _change(self, key: str, value: bytes | None) -> StoredChange:
         self._revision += 1
-        change = StoredChange(key, self._revision, value)
+        present = self._items.get(key)
+        created = self._revision if present is None else present.created
+        change = StoredChange(key, self._revision, value, created)
         self._history.append(change)
         self._wake_watches()
         return change
--- a/testing/edge/edge_fleet.py
+++ b/testing/edge/edge_fleet.py
@@ -152,7 +152,7 @@
         values = {
             name: value
             for name, value in settings.items()
-            if name not in ("faults", "version", "service", "brittle", "zone")
+            if name not in ("faults", "version", "service", "brittle", "zone", "born")
         }
         while True:
             name = f"t{next(self._target_numbers)}"
@@ -166,7 +166,7 @@
                 address = await serving.start(target.serve)
                 port = address.port
                 self.targets.append(target)
-                born = 1_000 + len(self.targets)
+                born = settings.get("born", 1_000 + len(self.targets))
                 self.versions[name] = version
                 entry = wire_target(
                     target.server.address,
@@ -205,7 +205,9 @@
             history = vm.router._view.history
             history._horizon = history._first_listed_at = Milliseconds(-(10**9))
 
-    async def call(self, vm, path, parts, body=b"question", *headers, key=KEY):
+    async def call(
+        self, vm, path, parts, body=b"question", *headers, key=KEY, deadline_ms=3_000
+    ):
         """Make one call; return status, head and body.
 
         It has a prompt of ``parts`` and a last part of its own, unless there are none.
@@ -220,7 +222,7 @@
             f"X-Key: {key}",
             *headers,
             *([f"X-Prompt-Prefix: {prompt}"] if parts else []),
-            "X-Deadline-Ms: 3000",
+            f"X-Deadline-Ms: {deadline_ms}",
             "Connection: close",
         ]
         host, _, port = vm.address.partition(":")
--- a/testing/edge/reports/test_topics.py
+++ b/testing/edge/reports/test_topics.py
@@ -135,6 +135,7 @@
         "helpers": "",
         "protocol_1": "",
         "protocol_2": "",
+        "protocol_3": "",
     }
 
 
--- a/testing/edge/test_fleet_restarts.py
+++ b/testing/edge/test_fleet_restarts.py
@@ -137,3 +137,44 @@
                 assert (status, places) == (503, [])
 
     run()
+
+
+JOINED = 8
+ROUTE_TIMEOUT_MS = 5_000
+
+
+@on_trio
+async def test_streams_go_on_after_all_vms_restarted_right_after_targets_joined():
+    """They were refused for good: each may have begun at a target that joined since."""
+    old = {"version": "v1"}
+    async with running_fleet(3, old, store_history=HISTORY_MS) as fleet:
+        fleet.store.compact()
+        await trio.sleep(0.5)
+        began = [
+            (
+                trio.current_time(),
+                *await break_off(
+                    fleet,
+                    fleet.vms[number % 3],
+                    number,
+                    deadline_ms=ROUTE_TIMEOUT_MS,
+                ),
+            )
+            for number in range(STREAMS)
+        ]
+        await trio.sleep(1.0)
+        for _ in range(JOINED):
+            new = {"version": "v2", "born": unix_ms()}
+            await fleet.nursery.start(fleet._serve_target, new)
+        await trio.sleep(0.3)
+        await restart_together(fleet.vms)
+        await trio.sleep(0.6)
+        went_on = 0
+        for number, (began_at_s, attempt, target) in enumerate(began):
+            elapsed_ms = round(1_000 * (trio.current_time() - began_at_s))
+            left_ms = ROUTE_TIMEOUT_MS - elapsed_ms
+            vm = fleet.vms[number % 3]
+            status, _, places = await take_up(fleet, vm, attempt, number, left_ms)
+            assert (status, places) in [(200, [target]), (503, [])]
+            went_on += status == 200
+        assert went_on >= 0.5 * STREAMS
--- a/testing/edge/test_peers.py
+++ b/testing/edge/test_peers.py
@@ -243,6 +243,7 @@
         "loads": {"t1": 4},
         "protocol_1": 1,
         "protocol_2": 1,
+        "protocol_3": 1,
     }
 
 
--- a/testing/edge/test_stream_origins.py
+++ b/testing/edge/test_stream_origins.py
@@ -408,6 +408,23 @@
     return Call(head, admitted, DESK, b"POST", b"/", (), b"", at(0), at(3_000))
 
 
+def test_start_of_a_target_tells_nothing_while_some_vms_do_not_go_by_it():
+    """VMs of earlier builds begin streams at any target listed the lag before."""
+    streams = Streams(PlatformView(at(2_000)), "a")
+    history = streams._view.history
+    new = [target(f"n{number}", software=V2) for number in range(4)]
+    for number, record in enumerate(new):
+        history.record(target(f"t{number}", software=V1), at(0))
+        history.record(record, at(0), started_at=at(-2_000))
+    history.extend(new, at(20_000), at(100))
+    streams._view.confirm(at(900))
+    calls = [resumable_call(key) for key in KEYS]
+    calls = [replace(each, head=replace(each.head, deadline=at(1))) for each in calls]
+    assert {streams.origin(each, at(1_000)).version for each in calls} == {V1}
+    streams.versions.record_builds(all_choose_alike=False, now=at(900))
+    assert None in {streams.origin(each, at(1_000)).version for each in calls}
+
+
 def test_stream_refused_after_a_restart_is_told_when_it_may_begin():
     """The version of a target that left before the restart is not known."""
     view = PlatformView(at(2_000))
--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -212,6 +212,27 @@
     assert {V1} not in versions
 
 
+@pytest.mark.parametrize(("started_ago", "versions"), [(5_000, 2), (60_000, 1)])
+def test_target_that_restarted_under_its_id_leaves_its_version_in_doubt(
+    started_ago, versions
+):
+    """Streams of a version that is forgotten went on at the one that took its id."""
+    history = just_started()
+    again = target("t9", software=V2)
+    started_at = at(STARTED_AT - started_ago)
+    history.record(again, at(STARTED_AT), started_at=started_at)
+    history.extend([again], REACH, at(STARTED_AT + 100), earlier=[again.id])
+    assert max(map(len, found(history, STARTED_AT + 8_000))) == versions
+
+
+def test_target_whose_start_is_not_over_yet_is_not_believed():
+    history = TargetHistory()
+    history.record(target("t1"), at(STARTED_AT), started_at=at(STARTED_AT + 5_000))
+    history.extend([target("t1")], REACH, at(STARTED_AT + 100))
+    (listing,) = history.listings(DESK, at(STARTED_AT))
+    assert listing.may_be_listed_by(at(STARTED_AT - 10_000))
+
+
 def test_calm_past_tells_where_streams_began_right_after_all_vms_restarted():
     history = just_started()
     history.extend([], REACH, at(STARTED_AT + 100))
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -344,6 +344,18 @@
         assert past.after == until - 1
 
 
+@on_trio
+async def test_targets_that_were_there_before_their_first_remembered_change_are_told():
+    async with store_with("t1", "t2") as (store, source):
+        store.compact()
+        for name in ("t1", "t3", "t3"):
+            until = store.put(f"servers/{name}", wire_target("10.0.0.1:80"))
+        store.remove("servers/t2")
+        until = store.put("servers/t2", wire_target("10.0.0.1:81"))
+        past = await source.remembered_changes(until)
+        assert past.earlier == {"servers/t1", "servers/t2"}
+
+
 @pytest.mark.parametrize(
     ("version", "software"),
     [("v1.1", "v1.1"), (3, "3"), (None, ""), ([], ""), ("", "")],
