Prefer targets that started in time without comparing all listings with all

The choice of a version compared each listing that all VMs have seen with each preferred one, at each call of a service with several versions: with 830 targets some 700,000 comparisons a call. The preference is a function of one listing now. A version counts as present if one of its targets that all VMs have seen is still listed, so a stream begins at another version at once instead of being refused for the lag; others find both versions possible then, and it is reported.

--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -131,7 +131,7 @@
         if not call.head.takes_up:
             self._record_caller_time(call)
             return NEW_STREAM
-        started_by = self._latest_usual_start(call, now)
+        started_by = self._latest_origin_start(call, now)
         origin = self._find_origin(call, now, started_by)
         log_event(
             "stream_taken_up",
@@ -250,8 +250,10 @@
             return self._history.stream_time
         return Milliseconds(longest - call.head.deadline)
 
-    def _latest_usual_start(self, call: Call, now: Milliseconds) -> Milliseconds | None:
-        """Return by when targets that the stream of ``call`` may be at had to start.
+    def _latest_origin_start(
+        self, call: Call, now: Milliseconds
+    ) -> Milliseconds | None:
+        """Return by when a target had to start for the stream to have begun there.
 
         ``None`` if the caller doesn't say how long it waits, or if VMs of earlier
         builds, which don't go by that, may have begun the stream.
@@ -266,6 +268,10 @@
         return self._latest_start(call, timeout)
 
     def _latest_start(self, call: Call, timeout: Milliseconds) -> Milliseconds:
+        """Return by when a target has to start for the caller's streams to begin there.
+
+        The end of the caller's wait is the same in all of its calls.
+        """
         waits_for = call.head.deadline or timeout
         return latest_start(
             Milliseconds(call.arrived_at + waits_for), timeout, self._history.lag
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -78,8 +78,7 @@
 ) -> VersionChoice:
     """Return where a new stream with this key may begin.
 
-    Targets that started after ``started_by`` are used only if no version with others
-    is left.
+    Targets that started after ``started_by`` are used only if no version has others.
 
     A VM that just started can't tell which targets other VMs have not seen yet. Unless
     they all started, it begins no streams where there are several versions. Nor does
@@ -90,17 +89,10 @@
         return ANY_VERSION
     if history.is_behind(now):
         return NO_VERSION
-    present = {listing.software for listing in listings if listing.until is None}
-    preferred = [
-        listing
-        for listing in listings
-        if listing.software in present
-        and (started_by is None or not listing.is_of_start_after(started_by))
-    ]
     if history.has_just_started(now):
         if history.is_complete(now):
             return NO_VERSION
-        versions = {listing.software for listing in preferred}
+        versions = {each.software for each in _preferred(listings, started_by)}
         return VersionChoice(versions.pop()) if len(versions) == 1 else ANY_VERSION
     seen_by_all = [
         listing
@@ -109,8 +101,8 @@
     ]
     if not seen_by_all:
         return ANY_VERSION
-    usual = [listing for listing in seen_by_all if listing in preferred]
-    return VersionChoice(_ranked(key, usual or seen_by_all)[0].software)
+    preferred = _preferred(seen_by_all, started_by)
+    return VersionChoice(_ranked(key, preferred or seen_by_all)[0].software)
 
 
 def possible_versions(
@@ -149,5 +141,21 @@
     return possible
 
 
+def _preferred(
+    listings: Sequence[Listing], started_by: Milliseconds | None
+) -> list[Listing]:
+    """Return those of targets that started in time, of versions with targets left.
+
+    A target that has left is among them if others of its version have not.
+    """
+    present = {listing.software for listing in listings if listing.until is None}
+    return [
+        listing
+        for listing in listings
+        if listing.software in present
+        and (started_by is None or not listing.is_of_start_after(started_by))
+    ]
+
+
 def _ranked(key: PartId, listings: Sequence[Listing]) -> list[Listing]:
     return sorted(listings, key=lambda listing: rank_key(key, listing.target))
