--- a/testing/edge/test_crashed_targets.py
+++ b/testing/edge/test_crashed_targets.py
@@ -9,13 +9,14 @@
 import random
 from dataclasses import dataclass
 from dataclasses import field
-from types import SimpleNamespace
 
 import pytest
 
 from edge.builders import ENGINES
+from edge.builders import catalogue
 from edge.builders import edge_settings
 from edge.builders import prompt
+from edge.builders import route
 from edge.builders import target
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
@@ -23,7 +24,9 @@
 from yuccafold.edge import CallHead
 from yuccafold.edge import Repeatability
 from yuccafold.edge._attempts import Failure
+from yuccafold.edge._call import Call
 from yuccafold.edge._forward import _outcome_of
+from yuccafold.edge._gate import Admitted
 from yuccafold.edge._health import Outcome
 from yuccafold.edge._targets import Targets
 from yuccafold.edge._view import PlatformView
@@ -45,8 +48,10 @@
         None,
         prompt=prompt((f"p{number}", 10_000), ("own", 1_300)),
     )
-    return SimpleNamespace(
-        service=ENGINES, head=head, repeatability=Repeatability.RESUMABLE
+    resumable = route(service=ENGINES, repeatability=Repeatability.RESUMABLE)
+    admitted = Admitted(catalogue(resumable), resumable, None)
+    return Call(
+        head, admitted, ENGINES, b"POST", b"/", (), b"", Milliseconds(0), head.deadline
     )
 
 
