Log which targets may have decided on the version of a stream that is taken up

The field possible names them, with the time since they were listed and since their start.

The choice itself is unchanged: possible_versions is the set of the versions of possible_listings.

--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import final
@@ -24,11 +25,13 @@
 from yuccafold.edge._stream_versions import StreamBegin
 from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._stream_versions import stream_key
+from yuccafold.edge._target_history import Listing
 from yuccafold.edge._version_choice import ANY_VERSION
 from yuccafold.edge._version_choice import VersionChoice
 from yuccafold.edge._version_choice import choice_key
 from yuccafold.edge._version_choice import choose_version
 from yuccafold.edge._version_choice import latest_start
+from yuccafold.edge._version_choice import possible_listings
 from yuccafold.edge._version_choice import possible_versions
 from yuccafold.edge._view import PlatformView
 from yuccafold.edge.split import RouteServices
@@ -61,6 +64,9 @@
 REPORT_TIME = Milliseconds(2_000)
 """Within this time all VMs have received a report on a stream."""
 
+MAX_LOGGED_LISTINGS = 4
+"""Listings that a log line names."""
+
 NEW_STREAM = StreamOrigin(None, OriginSource.NEW)
 UNKNOWN_STREAM = StreamOrigin(None, OriginSource.UNKNOWN)
 
@@ -132,7 +138,8 @@
             self._record_caller_time(call)
             return NEW_STREAM
         started_by = self._latest_origin_start(call, now)
-        origin = self._find_origin(call, now, started_by)
+        possible = self._possible_listings(call, now, started_by)
+        origin = self._find_origin(call, now, possible)
         log_event(
             "stream_taken_up",
             call=call.head.id,
@@ -143,6 +150,7 @@
             known_by=origin.source.value,
             history_ms=self._history.age(now),
             started_ago_ms=None if started_by is None else now - started_by,
+            possible=_shown_listings(possible, now),
             view_age_ms=self._view.age(now),
         )
         return origin
@@ -189,8 +197,9 @@
             self._versions.end(stream_key(key), is_whole, now)
 
     def _find_origin(
-        self, call: Call, now: Milliseconds, started_by: Milliseconds | None
+        self, call: Call, now: Milliseconds, possible: Sequence[Listing] | None
     ) -> StreamOrigin:
+        """Return where a stream may go on that one of ``possible`` decided on."""
         if not self._is_at_its_service(call, now):
             return UNKNOWN_STREAM
         if call.head.resumes is not None:
@@ -202,7 +211,16 @@
                 if version is not None:
                     return StreamOrigin(version, source)
         age = self._view.age(now)
-        possible = possible_versions(
+        versions = {listing.software for listing in possible or ()}
+        is_fresh = age is not None and age <= self._history.lag
+        if len(versions) == 1 and is_fresh:
+            return StreamOrigin(versions.pop(), OriginSource.EVIDENT)
+        return UNKNOWN_STREAM
+
+    def _possible_listings(
+        self, call: Call, now: Milliseconds, started_by: Milliseconds | None
+    ) -> list[Listing] | None:
+        return possible_listings(
             self._history,
             call.service,
             choice_key(call.head),
@@ -210,10 +228,6 @@
             self._max_stream_age(call),
             started_by,
         )
-        is_fresh = age is not None and age <= self._history.lag
-        if possible is not None and len(possible) == 1 and is_fresh:
-            return StreamOrigin(possible.pop(), OriginSource.EVIDENT)
-        return UNKNOWN_STREAM
 
     def _known_service(self, call: Call) -> ServiceId | None:
         """Return the service of the stream that ``call`` takes up, if it is known."""
@@ -287,6 +301,25 @@
         )
 
 
+def _shown_listings(
+    listings: Sequence[Listing] | None, now: Milliseconds
+) -> str | None:
+    """Return listings for a log line: target, since when it was listed, its start.
+
+    Both in ms before now, ``-`` if that is not known.
+    """
+    if listings is None:
+        return None
+    return ",".join(
+        f"{each.target}:{_ago(each.since, now)}:{_ago(each.started_at, now)}"
+        for each in listings[:MAX_LOGGED_LISTINGS]
+    )
+
+
+def _ago(at: Milliseconds | None, now: Milliseconds) -> str:
+    return "-" if at is None else str(now - at)
+
+
 def _first_call(call: Call) -> CallId | None:
     """Return the call that brought a stream's first event; ``None`` if not named."""
     return call.head.resumes if call.head.takes_up else call.head.id
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -115,6 +115,22 @@
 ) -> set[SoftwareVersion] | None:
     """Return the versions at which a stream with this key may have begun.
 
+    Returns ``None`` if this VM doesn't know all targets of that time.
+    """
+    listings = possible_listings(history, service, key, now, stream_age, started_by)
+    return None if listings is None else {each.software for each in listings}
+
+
+def possible_listings(
+    history: TargetHistory,
+    service: ServiceId,
+    key: PartId,
+    now: Milliseconds,
+    stream_age: Milliseconds | None = None,
+    started_by: Milliseconds | None = None,
+) -> list[Listing] | None:
+    """Return the listings that may have decided at which version a stream began.
+
     It is at most ``stream_age`` old, if that is given, and was begun by VMs that prefer
     targets which started by ``started_by``. Returns ``None`` if this VM doesn't know
     all targets of that time.
@@ -130,12 +146,11 @@
     ]
     if not any(listing.covers(start) for listing in listings):
         return None
-    versions = {listing.software for listing in listings}
-    if len(versions) == 1:
-        return versions
-    possible: set[SoftwareVersion] = set()
+    if len({listing.software for listing in listings}) == 1:
+        return listings
+    possible: list[Listing] = []
     for listing in _ranked(key, listings):
-        possible.add(listing.software)
+        possible.append(listing)
         if listing.covers(start):
             break
     return possible
