Take no target for older than its start, whatever another VM's history leaves out

Callers that took a stream up at a VM which had just restarted got 200, the first events of v1 and the rest of v2.

Cause: a history names only the targets that changed. A target that it leaves out counts as listed for all the time that it covers, so one VM that takes new targets for old hands that on by saying nothing. Builds before take those for old that join in the first half second of a VM, and state that their history is complete. A VM of this build that restarts next and merges their history first does the same, though the entries of these targets say that they have just started.

Fix: what a target states of its start is known to any VM. One that counts as listed before the history began, but started since a stream can have begun, doesn't end the search for targets that may have begun it.

test_target_is_not_older_than_its_start_whatever_a_history_leaves_out[1000-True] and test_stream_is_not_joined_at_targets_that_other_vms_take_for_old failed before.

--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -83,6 +83,16 @@
         """Return whether the target has been listed ever since ``start``."""
         return self.until is None and (self.since is None or self.since <= start)
 
+    def can_have_covered(self, start: Milliseconds) -> bool:
+        """Return the same, unless the target states that it started after ``start``.
+
+        Another VM's history may be wrong about when it was listed.
+        """
+        contradicts = self.since is None and self.is_of_start_after(
+            Milliseconds(start + CLOCK_TOLERANCE)
+        )
+        return self.covers(start) and not contradicts
+
     def includes(self, at: Milliseconds) -> bool:
         """Return whether the target was listed at this time."""
         return (self.since is None or self.since <= at) and (
--- a/src/yuccafold/edge/_version_choice.py
+++ b/src/yuccafold/edge/_version_choice.py
@@ -151,7 +151,7 @@
     possible: list[Listing] = []
     for listing in _ranked(key, listings):
         possible.append(listing)
-        if listing.covers(start):
+        if listing.can_have_covered(start):
             break
     return possible
 
--- a/testing/edge/test_fleet_restarts.py
+++ b/testing/edge/test_fleet_restarts.py
@@ -92,13 +92,46 @@
                 assert (status, places) in [(200, [began_at]), (503, [])]
 
 
-HISTORY_MS = 20_000
-
-
 def unix_ms():
     return time.time_ns() // 1_000_000
 
 
+def take_all_for_old(vm):
+    """Have a VM know its targets as an earlier build does that restarted lately."""
+    history = vm.router._view.history
+    for listing in history._open.values():
+        listing.since = None
+
+
+@on_trio
+async def test_stream_is_not_joined_at_targets_that_other_vms_take_for_old():
+    """The VM believed a history of an earlier build although the targets in it state
+    that they started after the stream."""
+    async with running_fleet(VM_COUNT, *FOUR_OF_TWO[:1]) as fleet:
+        await trio.sleep(0.5)
+        fleet.complete_histories()
+        began = [
+            await break_off(fleet, fleet.vms[number % VM_COUNT], number)
+            for number in range(STREAMS)
+        ]
+        for _ in range(NEW_TARGETS):
+            new = {"version": "v2", "born": unix_ms()}
+            await fleet.nursery.start(fleet._serve_target, new)
+        await trio.sleep(0.5)
+        restarted = [fleet.vms[2], fleet.vms[4]]
+        for vm in fleet.vms:
+            take_all_for_old(vm)
+        await restart_together(restarted)
+        await trio.sleep(1.0)
+        for number, (attempt, began_at) in enumerate(began):
+            for vm in restarted:
+                status, _, places = await take_up(fleet, vm, attempt, number)
+                assert (status, places) in [(200, [began_at]), (503, [])]
+
+
+HISTORY_MS = 20_000
+
+
 @pytest.mark.parametrize(
     ("shown_by", "is_forgotten"),
     [("start", True), ("drain", True), ("start", False), ("drain", False)],
--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -348,6 +348,27 @@
     assert found(fresh, STARTED_AT + 1_000) == [None] * 20
 
 
+@pytest.mark.parametrize(
+    ("started_ago", "in_doubt"), [(1_000, True), (60_000, False), (None, False)]
+)
+def test_target_is_not_older_than_its_start_whatever_a_history_leaves_out(
+    started_ago, in_doubt
+):
+    """Streams of V1 went on at V2: a VM that restarted as its targets joined, of a
+    build that took them for old, sent a history without them."""
+    fresh = listed(*OLD)
+    for number, version in NEW:
+        record = target(f"t{number}", software=version)
+        started_at = None if started_ago is None else at(STARTED_AT - started_ago)
+        position = Position(10 + number)
+        fresh.record(record, at(STARTED_AT), position, started_at)
+    assert fresh.merge([], at(90_000), at(STARTED_AT + 10), Position(90))
+    versions = found(fresh, STARTED_AT + 1_000)
+    assert {V1} in versions
+    assert ({V1, V2} in versions) == in_doubt
+    assert ({V2} in versions) == (not in_doubt)
+
+
 def behind_at(now):
     """Return histories of a VM that saw all, and of one that has just caught up."""
     old, late = history_of(V1, 0), history_of(V1, 0)
