Close the gap of a VM only by a history of one that had read as much

A VM that was out of step with the others has a gap in its history: it sees the latest entry of each target only, not which targets came and went. The history of another VM closes it. Whether that VM had read what the gap ended with was not checked, as it is for the first list of a VM that starts: one that was behind itself closed the gap, and targets that had left in the rest of it were unknown to both.

Fix: a gap remembers the state of the store that was read at its end, and a history is merged only if its sender had read that. Otherwise the VM goes on refusing streams of unknown origin, as not run, until the next exchange with one that has.

test_vm_that_has_not_read_what_ended_a_gap_does_not_close_it fails without the check.

--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -386,7 +386,7 @@
         history = self._view.history
         if seen_until is None or now - seen_until <= history.lag:
             return
-        history.record_gap(seen_until, now)
+        history.record_gap(seen_until, now, self._table.position)
         log_event("history_gap", missed_ms=now - seen_until)
         self._recheck.set()
 
--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -119,11 +119,12 @@
 class HistoryGap:
     """A time in which targets may have come and gone without this VM seeing it.
 
-    It has seen what was left of the changes at the end.
+    It has seen what was left of the changes at the end, up to the state ``position``.
     """
 
     began_at: Milliseconds
     ended_at: Milliseconds
+    position: Position = START
 
 
 @final
@@ -216,14 +217,17 @@
         """Return whether other VMs may begin streams at targets seen here just now."""
         return self._gap is not None and now < self._gap.ended_at + self._lag
 
-    def record_gap(self, began_at: Milliseconds, now: Milliseconds) -> None:
+    def record_gap(
+        self, began_at: Milliseconds, now: Milliseconds, position: Position = START
+    ) -> None:
         """Record that this VM did not see all that changed from ``began_at`` to now.
 
-        What another VM saw meanwhile closes the gap.
+        It has read the latest entries up to ``position``. What another VM saw meanwhile
+        closes the gap.
         """
         if self._gap is not None:
             began_at = min(began_at, self._gap.began_at)
-        self._gap = HistoryGap(began_at, now)
+        self._gap = HistoryGap(began_at, now, position)
 
     def record(
         self,
@@ -331,15 +335,16 @@
         """Add what another VM saw, if its history reaches back further than this one.
 
         It had seen the store's changes up to ``seen_up_to``. If those before the first
-        list of this VM are not all among them, nobody here knows which targets left in
-        between, and nothing is added. Returns whether anything was.
+        list of this VM, or before the end of its gap, are not all among them, nobody
+        here knows which targets left in between, and nothing is added. Returns whether
+        anything was.
         Raises ``ValueError`` or ``TypeError`` if a row is malformed.
         """
         reported = [_listing(row, now) for row in rows]
         horizon = Milliseconds(now - age)
         if self.horizon is None or horizon >= self.horizon:
             return False
-        if self._first_position is not None and seen_up_to < self._first_position:
+        if seen_up_to < self._unseen_until():
             return False
         self._limit_unseen(seen_up_to, now)
         for listing in reported:
@@ -402,6 +407,13 @@
             if listing.until is not None
         ]
 
+    def _unseen_until(self) -> Position:
+        """Return up to which state this VM may have missed targets that have left."""
+        return max(
+            START if self._first_position is None else self._first_position,
+            START if self._gap is None else self._gap.position,
+        )
+
     def _limit_unseen(self, seen_up_to: Position, now: Milliseconds) -> None:
         """Count targets that the source of a history had not seen as listed lately.
 
--- a/testing/edge/test_target_history.py
+++ b/testing/edge/test_target_history.py
@@ -396,6 +396,16 @@
         assert choose_version(late, DESK, key, at(60_100)) == expected
 
 
+def test_vm_that_has_not_read_what_ended_a_gap_does_not_close_it():
+    """The gap counted as closed by a VM that had not seen yet which targets left."""
+    _, late = behind_at(60_000)
+    late.record_gap(at(48_000), at(60_000), Position(20))
+    assert not late.merge([], at(50_000), at(60_100), Position(19))
+    assert found(late, 60_100) == [None] * 20
+    assert late.merge([], at(50_000), at(60_100), Position(20))
+    assert found(late, 60_100) != [None] * 20
+
+
 def test_vm_with_a_gap_of_its_own_closes_none():
     _, late = behind_at(60_000)
     _, other = behind_at(60_000)
