--- a/src/yuccafold/edge/_target_history.py
+++ b/src/yuccafold/edge/_target_history.py
@@ -84,9 +84,10 @@
         return self.until is None and (self.since is None or self.since <= start)
 
     def can_have_covered(self, start: Milliseconds) -> bool:
-        """Return the same, unless the target states that it started after ``start``.
+        """Return whether the target may have been listed ever since ``start``.
 
-        Another VM's history may be wrong about when it was listed.
+        One that started later can't, though it counts as listed before the horizon:
+        the history of a VM that took it for old doesn't name it.
         """
         contradicts = self.since is None and self.is_of_start_after(
             Milliseconds(start + CLOCK_TOLERANCE)
@@ -408,7 +409,7 @@
         ]
 
     def _unseen_until(self) -> Position:
-        """Return up to which state this VM may have missed targets that have left."""
+        """Return up to which state targets may have left that this VM has not seen."""
         return max(
             START if self._first_position is None else self._first_position,
             START if self._gap is None else self._gap.position,
