Try streams for over a second at a VM that closes its gap, however fast it refuses

A VM that was out of step begins no streams until another VM's history has closed its gap, which takes half a second at most. The test made 24 tries and paused after those that began only. A refusal takes a millisecond, so on a fast machine that does nothing else all tries were over after 23 ms, before the next exchange of histories. Where refusals take longer, some tries came later.

With the gap logged at each try, all 24 tries of a run came 4 to 28 ms after its end, and the gap was open in each.

Each try is preceded by the pause now, so that they span 1.2 s. What is checked of each stream, their number and that some must begin are as before.

--- a/testing/edge/test_vms_out_of_step.py
+++ b/testing/edge/test_vms_out_of_step.py
@@ -107,6 +107,8 @@
         began = 0
         for number in range(2 * STREAMS):
             runs = len(fleet.runs)
+            # Refusals take a millisecond; the VM has half a second to close its gap.
+            await trio.sleep(0.05)
             try:
                 attempt, began_at = await break_off(fleet, late, number)
             except ValueError:
@@ -116,5 +118,4 @@
             versions = {fleet.versions[name] for name in places}
             assert versions <= {fleet.versions[began_at]}
             began += 1
-            await trio.sleep(0.05)
         assert began
