Tell VMs that start which services routes had before

What callers saw: streams answered 200 to their end with the first events of one service's software version and the rest of another's. A route of streams had moved to another service, and VMs restarted meanwhile or within 20 s of it.

Cause: VMs remember former services of routes, but told each other of targets only. A VM that starts took the services in force for all that its routes had had. One service with one version was known to it, so the stream counted as evident there.

Now VMs send former services as they send the history of targets, to a VM that knows less of the past. It takes them only from one that had read the settings that it applied first: until then the other one may not know itself that the route has moved. Such streams are refused as not run, as at VMs that kept running. Earlier builds ignore the fields and send none.

--- a/src/yuccafold/edge/_history_exchange.py
+++ b/src/yuccafold/edge/_history_exchange.py
@@ -1,10 +1,17 @@
-"""Exchanges the history of targets between two VMs, if one of them started recently."""
+"""Exchanges what two VMs know of the past, if one of them started recently.
+
+That is the history of targets, and which services routes had.
+"""
 
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
+from typing import Protocol
 from typing import final
 from urllib.parse import urlencode
 
@@ -17,12 +24,66 @@
 from yuccafold.edge._target_history import MAX_ROWS
 from yuccafold.edge._target_history import TargetHistory
 
-AGE_FIELD = "history_age_ms"
-"""How far back the sender's history reaches; an earlier build sends none, and what it
-knows of the past is not used."""
 
-ROWS_FIELD = "history"
-ROWS_AGE_FIELD = "history_rows_age_ms"
+class History(Protocol):
+    """What a VM knows of the past, since when, and up to which state of the store."""
+
+    def age(self, now: Milliseconds) -> Milliseconds:
+        """Return how far the history reaches back."""
+        ...
+
+    def rows(
+        self, now: Milliseconds, max_rows: int
+    ) -> tuple[list[list[Any]], Milliseconds]:
+        """Return rows of what changed, and how far back they reach."""
+        ...
+
+    def merge(
+        self,
+        rows: Iterable[Sequence[Any]],
+        age: Milliseconds,
+        now: Milliseconds,
+        seen_up_to: Position,
+    ) -> bool:
+        """Add rows of another VM that had read the store up to ``seen_up_to``.
+
+        Returns whether they were of use. Raises ``ValueError`` or ``TypeError`` if one
+        is malformed.
+        """
+        ...
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HistoryFields:
+    """The fields of a message that bear a history, and the log event of a merge.
+
+    ``age`` is how far back the sender's history reaches, ``rows_age`` how far the rows
+    do. A build that sends no age doesn't know this history.
+    """
+
+    age: str
+    rows: str
+    rows_age: str
+    merged_event: str
+
+
+TARGET_FIELDS = HistoryFields(
+    age="history_age_ms",
+    rows="history",
+    rows_age="history_rows_age_ms",
+    merged_event="history_merged",
+)
+"""Those of the history of targets."""
+
+ROUTE_FIELDS = HistoryFields(
+    age="routes_age_ms",
+    rows="routes",
+    rows_age="routes_rows_age_ms",
+    merged_event="routes_merged",
+)
+"""Those of the services that routes had."""
+
 MIN_GAIN = Milliseconds(1_000)
 """How much further back a history must reach to be worth sending."""
 
@@ -34,8 +95,9 @@
 class HistoryExchange:
     """The side that asks: how far back the other VM's history reached last time."""
 
-    def __init__(self, history: TargetHistory) -> None:
+    def __init__(self, history: History, names: HistoryFields = TARGET_FIELDS) -> None:
         self._history = history
+        self._names = names
         self._peer_age: Milliseconds | None = None
 
     def query(self, now: Milliseconds, max_query: int | None = None) -> dict[str, Any]:
@@ -46,10 +108,10 @@
         """
         max_rows = MAX_ROWS
         while True:
-            fields = _fields(self._history, self._peer_age, now, max_rows)
-            if ROWS_FIELD not in fields:
+            fields = _fields(self._history, self._names, self._peer_age, now, max_rows)
+            if self._names.rows not in fields:
                 return fields
-            fields[ROWS_FIELD] = json.dumps(fields[ROWS_FIELD])
+            fields[self._names.rows] = json.dumps(fields[self._names.rows])
             if max_query is None or len(urlencode(fields)) <= max_query:
                 return fields
             max_rows //= 2
@@ -61,21 +123,24 @@
 
         The other VM had seen the store's changes up to ``seen_up_to``.
         """
-        if AGE_FIELD not in fields:
+        names = self._names
+        if names.age not in fields:
             return
         try:
-            self._peer_age = Milliseconds(int(fields[AGE_FIELD]))
-            if ROWS_FIELD in fields:
-                _merge(self._history, fields[ROWS_FIELD], fields, now, seen_up_to)
+            self._peer_age = Milliseconds(int(fields[names.age]))
+            if names.rows in fields:
+                rows = fields[names.rows]
+                _merge(self._history, names, rows, fields, now, seen_up_to)
         except MALFORMED_ERRORS as error:
-            log_event("history_malformed", error=str(error))
+            log_event("history_malformed", field=names.rows, error=str(error))
 
 
 def answer_history(
-    history: TargetHistory,
+    history: History,
     fields: Mapping[str, str],
     now: Milliseconds,
     seen_up_to: Position,
+    names: HistoryFields = TARGET_FIELDS,
 ) -> dict[str, Any]:
     """Merge the rows of a request, and return the fields of the answer.
 
@@ -84,30 +149,33 @@
     """
     peer_age: Milliseconds | None = None
     try:
-        if ROWS_FIELD in fields:
-            _merge(history, parse_json(fields[ROWS_FIELD]), fields, now, seen_up_to)
-        if AGE_FIELD in fields:
-            peer_age = Milliseconds(int(fields[AGE_FIELD]))
+        if names.rows in fields:
+            rows = parse_json(fields[names.rows])
+            _merge(history, names, rows, fields, now, seen_up_to)
+        if names.age in fields:
+            peer_age = Milliseconds(int(fields[names.age]))
     except MALFORMED_ERRORS as error:
-        log_event("history_malformed", vm=fields.get("vm"), error=str(error))
-    answer = _fields(history, peer_age, now)
-    if DEPARTED_FIELD in fields:
+        vm = fields.get("vm")
+        log_event("history_malformed", field=names.rows, vm=vm, error=str(error))
+    answer = _fields(history, names, peer_age, now)
+    if isinstance(history, TargetHistory) and DEPARTED_FIELD in fields:
         answer[DEPARTED_FIELD] = history.departed_rows(now)
     return answer
 
 
 def _merge(
-    history: TargetHistory,
+    history: History,
+    names: HistoryFields,
     rows: Any,
     fields: Mapping[str, Any],
     now: Milliseconds,
     seen_up_to: Position,
 ) -> None:
     """Merge the rows of a message, and log how far back they reach."""
-    rows_age = Milliseconds(int(fields[ROWS_AGE_FIELD]))
+    rows_age = Milliseconds(int(fields[names.rows_age]))
     if history.merge(rows, rows_age, now, seen_up_to):
         log_event(
-            "history_merged",
+            names.merged_event,
             changes=len(rows),
             reach_ms=rows_age,
             revision=revision_of(seen_up_to),
@@ -115,15 +183,16 @@
 
 
 def _fields(
-    history: TargetHistory,
+    history: History,
+    names: HistoryFields,
     peer_age: Milliseconds | None,
     now: Milliseconds,
     max_rows: int = MAX_ROWS,
 ) -> dict[str, Any]:
     """Return this VM's age, and rows if its history reaches back further."""
     age = history.age(now)
-    fields: dict[str, Any] = {AGE_FIELD: age}
+    fields: dict[str, Any] = {names.age: age}
     if max_rows and peer_age is not None and age - peer_age >= MIN_GAIN:
         rows, rows_age = history.rows(now, max_rows)
-        fields |= {ROWS_FIELD: rows, ROWS_AGE_FIELD: rows_age}
+        fields |= {names.rows: rows, names.rows_age: rows_age}
     return fields
--- a/src/yuccafold/edge/_peers.py
+++ b/src/yuccafold/edge/_peers.py
@@ -29,6 +29,7 @@
 from yuccafold.edge._delta import make_delta
 from yuccafold.edge._entries import LONG_VALUE_BYTES
 from yuccafold.edge._entries import EntryTable
+from yuccafold.edge._history_exchange import ROUTE_FIELDS
 from yuccafold.edge._history_exchange import HistoryExchange
 from yuccafold.edge._history_exchange import answer_history
 from yuccafold.edge._platform_source import Entry
@@ -80,8 +81,8 @@
 MAX_QUERY_BYTES = 15_872
 """Size of the query of a request: seeds read heads of up to 16 KiB."""
 
-HISTORY_AGES_BYTES = 100
-"""Size of the fields that say how far the history reaches, without rows."""
+HISTORY_AGES_BYTES = 200
+"""Size of the fields that say how far both histories reach, without rows."""
 
 MAX_ANSWER_BYTES = 16_384
 """Size at which an answer ends and the rest must be requested; 16 KiB take about 30 ms
@@ -113,6 +114,7 @@
         self._suspects = SuspectExchange(evidence.quarantine, str(address))
         self._streams = StreamExchange(evidence.streams, str(address))
         self._history = HistoryExchange(evidence.history)
+        self._routes = HistoryExchange(evidence.route_services, ROUTE_FIELDS)
         self._newer_settings: Entry | None = None
         self._earlier_epoch: str | None = None
 
@@ -146,6 +148,7 @@
         )
         topics = self._evidence.topics
         query |= topics.format(local_report, now, _room(query) - HISTORY_AGES_BYTES)
+        query |= self._routes.query(now, _room(query) - HISTORY_AGES_BYTES)
         query |= self._history.query(now, _room(query))
         epoch = self._earlier_epoch
         changes, is_whole = await self._get(
@@ -160,13 +163,15 @@
 
     async def report(self) -> VmReport:
         """Return the sum of the reports of the other VM and those that report to it."""
+        now = self._clock.now()
         query = (
             {"vm": self._vm}
             | self._state_fields(self._table.position)
-            | self._suspects.query(self._clock.now())
-            | self._streams.query(self._clock.now())
+            | self._suspects.query(now)
+            | self._streams.query(now)
         )
-        query |= self._history.query(self._clock.now(), _room(query))
+        query |= self._routes.query(now, _room(query) - HISTORY_AGES_BYTES)
+        query |= self._history.query(now, _room(query))
         try:
             status, _, body = await self._connection.get(
                 f"{REPORTS_PATH}?{urlencode(query)}"
@@ -177,7 +182,9 @@
             now = self._clock.now()
             self._suspects.record_answer(answer, now)
             self._streams.record_answer(answer, now)
-            self._history.record_answer(answer, now, _position_of_answer(answer))
+            seen_up_to = _position_of_answer(answer)
+            self._routes.record_answer(answer, now, seen_up_to)
+            self._history.record_answer(answer, now, seen_up_to)
             self._newer_settings = self._settings(answer)
             return self._evidence.topics.parse(answer, now)
         except (CallFailedError, *MALFORMED_ERRORS) as error:
@@ -223,6 +230,7 @@
                 self._evidence.record_fleet_report(total, local_report, now)
                 self._suspects.record_answer(answer, now)
                 self._streams.record_answer(answer, now)
+                self._routes.record_answer(answer, now, position)
                 self._history.record_answer(answer, now, position)
             return changes, bool(answer["whole"])
         except MALFORMED_ERRORS as error:
@@ -400,8 +408,11 @@
         suspects = answer_suspects(self._evidence.quarantine, query, now)
         streams = answer_streams(self._evidence.streams, query, now)
         seen_up_to = self._requested_position(query)
+        routes = answer_history(
+            self._evidence.route_services, query, now, seen_up_to, ROUTE_FIELDS
+        )
         history = answer_history(self._evidence.history, query, now, seen_up_to)
-        return suspects | streams | history
+        return suspects | streams | routes | history
 
     def _record_report(self, query: dict[str, str], now: Milliseconds) -> None:
         """Record the requesting VM's report on its calls."""
--- a/src/yuccafold/edge/_reader.py
+++ b/src/yuccafold/edge/_reader.py
@@ -567,7 +567,7 @@
         is_in_force = self._view.apply(catalogue)
         if is_in_force:
             self._table.put_in_force(SettingsInForce(catalogue.version, entry))
-            self._targets.streams.apply_catalogue(catalogue, now)
+            self._targets.streams.apply_catalogue(catalogue, now, entry.position)
         if is_known:
             return
         log_event(
--- a/src/yuccafold/edge/_streams.py
+++ b/src/yuccafold/edge/_streams.py
@@ -22,6 +22,8 @@
 from yuccafold.edge._model import RouteName
 from yuccafold.edge._model import SoftwareVersion
 from yuccafold.edge._model import TargetRecord
+from yuccafold.edge._positions import START
+from yuccafold.edge._positions import Position
 from yuccafold.edge._stream_versions import StreamBegin
 from yuccafold.edge._stream_versions import StreamVersions
 from yuccafold.edge._stream_versions import stream_key
@@ -93,15 +95,21 @@
         """The services of routes, now and until lately."""
         return self._route_services
 
-    def apply_catalogue(self, catalogue: Catalogue, now: Milliseconds) -> None:
-        """Apply the services and timeouts of routes that are in force from now on."""
+    def apply_catalogue(
+        self, catalogue: Catalogue, now: Milliseconds, position: Position = START
+    ) -> None:
+        """Apply the services and timeouts of routes that are in force from now on.
+
+        They were written at ``position``.
+        """
         self._shortest_timeouts |= {
             route.name: min(
                 route.timeout, self._shortest_timeouts.get(route.name, route.timeout)
             )
             for route in catalogue.routes
         }
-        self._route_services.apply(catalogue, now, self._history.window)
+        window = self._history.window
+        self._route_services.apply(catalogue, now, window, position)
 
     def choose_service(self, head: CallHead, route: Route) -> ServiceId:
         """Return the service of a call: if it takes up a stream, that one's.
--- a/testing/edge/edge_fleet.py
+++ b/testing/edge/edge_fleet.py
@@ -200,10 +200,12 @@
         return [run for target in self.targets for run in target.runs]
 
     def complete_histories(self):
-        """Have all VMs know their targets as if they had run for a long time."""
+        """Have all VMs know targets and services as if they had run for a long time."""
+        long_ago = Milliseconds(-(10**9))
         for vm in self.vms:
             history = vm.router._view.history
-            history._horizon = history._first_listed_at = Milliseconds(-(10**9))
+            history._horizon = history._first_listed_at = long_ago
+            vm.router._targets.streams.route_services._known_since = long_ago
 
     async def call(
         self, vm, path, parts, body=b"question", *headers, key=KEY, deadline_ms=3_000
--- a/testing/edge/test_request_sizes.py
+++ b/testing/edge/test_request_sizes.py
@@ -11,14 +11,18 @@
 import trio
 
 from edge.builders import DESK
+from edge.builders import catalogue
+from edge.builders import route
 from edge.builders import target
 from yuccafold._clock import ManualClock
 from yuccafold._clock import Milliseconds
 from yuccafold._ids import CallId
+from yuccafold._ids import ServiceId
 from yuccafold._ids import TargetId
 from yuccafold._ids import VmId
 from yuccafold.edge import PartId
 from yuccafold.edge import PlatformUnavailableError
+from yuccafold.edge import Repeatability
 from yuccafold.edge import RouteName
 from yuccafold.edge import SocketAddress
 from yuccafold.edge._entries import EntryTable
@@ -30,6 +34,7 @@
 from yuccafold.edge._stream_versions import stream_key
 from yuccafold.edge._target_history import TargetHistory
 from yuccafold.edge._vm_reports import TargetEvidence
+from yuccafold.edge.split import RouteServices
 from yuccafold.http._client import HttpAnswer
 
 MAX_HEAD_BYTES = 16_384
@@ -54,7 +59,23 @@
         return HttpAnswer(200, (), self._body)
 
 
-def busy_evidence(streams, targets, listed):
+def moved_routes(count):
+    """Return what a VM knows that saw routes of streams move to another service."""
+    services = RouteServices()
+    for at, service in ((0, "season-draw-a"), (90_000, "season-draw-b")):
+        routes = [
+            route(
+                f"/season-draw/{number}/",
+                ServiceId(f"{service}-{number}"),
+                Repeatability.RESUMABLE,
+            )
+            for number in range(count)
+        ]
+        services.apply(catalogue(*routes), Milliseconds(at), Milliseconds(20_000))
+    return services
+
+
+def busy_evidence(streams, targets, listed, moved=0):
     """Return what a VM knows that has calls, notices and limits of many targets."""
     versions = StreamVersions("epoch", lambda *_: False)
     begin = StreamBegin(
@@ -67,7 +88,9 @@
     for number, name in enumerate(NAMES[:listed]):
         record = target("t2", id=TargetId(name), software="v1.25.3")
         history.record(record, Milliseconds(90_000 + number))
-    evidence = TargetEvidence(streams=versions, history=history)
+    evidence = TargetEvidence(
+        streams=versions, history=history, route_services=moved_routes(moved)
+    )
     for number, name in enumerate(NAMES[:targets]):
         evidence.loads.start(TargetId(name))
         evidence.outcomes.record_outcome(TargetId(name), number % 2 == 0, NOW)
@@ -84,7 +107,7 @@
         VmId("vm-9"), SocketAddress("10.0.0.1", 1), EntryTable(), evidence, clock
     )
     source._connection = connection
-    source._history._peer_age = Milliseconds(0)
+    source._history._peer_age = source._routes._peer_age = Milliseconds(0)
 
     async def run():
         for _ in range(2):
@@ -107,8 +130,9 @@
 @pytest.mark.parametrize("streams", [0, 200])
 @pytest.mark.parametrize("targets", [0, 60, 200])
 @pytest.mark.parametrize("listed", [0, 200])
-def test_request_is_short_enough_for_any_seed(action, streams, targets, listed):
-    evidence = busy_evidence(streams, targets, listed)
+@pytest.mark.parametrize("moved", [0, 200])
+def test_request_is_short_enough_for_any_seed(action, streams, targets, listed, moved):
+    evidence = busy_evidence(streams, targets, listed, moved)
     sizes = [len(each) for each in requests_of(evidence, ACTIONS[action])]
     assert max(sizes) <= MAX_HEAD_BYTES - HEAD_BYTES_BESIDE_TARGET
 
@@ -134,3 +158,13 @@
     other.record(target("t1", software="v1"), NOW)
     other.merge(rows, Milliseconds(rows_age), NOW, START)
     assert other.age(NOW) == rows_age
+
+
+def test_former_services_are_sent_as_far_as_the_request_has_room():
+    evidence = busy_evidence(200, 60, 200, 200)
+    (request, _) = requests_of(evidence, ACTIONS["report"])
+    fields = parse_qs(urlsplit(request).query)
+    rows = json.loads(fields["routes"][0])
+    assert 0 < len(rows) < 200
+    # All of these routes moved at once, so what is sent reaches back until then only.
+    assert int(fields["routes_rows_age_ms"][0]) == NOW - 90_000 - 1
--- a/testing/edge/test_streams_of_two_services.py
+++ b/testing/edge/test_streams_of_two_services.py
@@ -94,3 +94,63 @@
             assert (("other", 200) in statuses) == ("other" in weights)
 
     run()
+
+
+@pytest.mark.parametrize(
+    ("moved", "is_named"), [("while down", True), ("before", False)]
+)
+def test_stream_is_not_taken_up_where_its_route_moved_as_vms_restarted(moved, is_named):
+    """A VM that started took the services in force for all that the route had.
+
+    VMs tell each other of streams whose route has moved. They can't if the one that
+    relayed it is down, and it doesn't help callers that don't name their first call.
+    """
+
+    @on_trio
+    async def run():
+        async with running_fleet(4, *TARGETS) as fleet:
+            await configure(fleet, 5, desk=1)
+            complete_histories(fleet)
+            restarted = fleet.vms[2:]
+            began = [
+                await break_off(fleet, restarted[number % 2], number)
+                for number in range(STREAMS)
+            ]
+            if moved == "before":
+                await configure(fleet, 9, other=1)
+            for vm in restarted:
+                vm.kill()
+                await vm._ended.wait()
+            if moved == "while down":
+                await configure(fleet, 9, other=1)
+            for vm in restarted:
+                await vm.start()
+            await trio.sleep(0.6)
+            for number, (attempt, _) in enumerate(began):
+                for vm in restarted:
+                    status, _, places = await take_up(
+                        fleet, vm, attempt if is_named else None, number
+                    )
+                    assert (status, places) == (503, [])
+
+    run()
+
+
+@on_trio
+async def test_stream_of_the_service_that_its_route_moved_to_goes_on_after_restarts():
+    """A VM must not refuse what began since the move, only as it knows of the move."""
+    async with running_fleet(4, *TARGETS) as fleet:
+        await configure(fleet, 5, desk=1)
+        complete_histories(fleet)
+        await configure(fleet, 9, other=1)
+        restarted = fleet.vms[2:]
+        for vm in restarted:
+            await vm.restart()
+        await trio.sleep(0.6)
+        began = await begin_streams(fleet)
+        # VMs tell each other of such streams with their next reports.
+        await trio.sleep(1.0)
+        for number, (attempt, began_at) in enumerate(began):
+            for vm in restarted:
+                status, _, places = await take_up(fleet, vm, attempt, number)
+                assert (status, places) == (200, [began_at])
--- a/testing/edge/test_streams_of_two_versions.py
+++ b/testing/edge/test_streams_of_two_versions.py
@@ -100,9 +100,13 @@
 
 
 async def take_up(fleet, vm, attempt, number, deadline_ms=3_000):
-    """Take a stream up; return the status, the head and where it went on, if it did."""
+    """Take a stream up; return the status, the head and where it went on, if it did.
+
+    With ``None`` for ``attempt``, the caller doesn't name its first call.
+    """
     received = {each.id: len(each.received) for each in fleet.targets}
-    lines = (f"Resumes: {attempt}", "Last-Event-Id: 2")
+    named = () if attempt is None else (f"Resumes: {attempt}",)
+    lines = (*named, "Last-Event-Id: 2")
     status, head, _ = await fleet.call(
         vm, "/chat/", (f"shared{number}",), b"", *lines, deadline_ms=deadline_ms
     )
