--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -22,14 +23,29 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
+HISTORY_S = 20
 STARTED = time.monotonic()
 
 
+FIRST_PORT, LAST_PORT = 15_000, 31_999
+"""Below the ports that the kernel gives to outgoing connections."""
+
+_given: set[int] = set()
+
+
 def free_port() -> int:
     """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _given:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _given.add(port)
+        return port
 
 
 class Record:
@@ -77,6 +93,8 @@
         self.revision = 100
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
+        self._written_at: list[float] = []
+        self._forgotten = 0
         self._changed = asyncio.Condition()
 
     @property
@@ -104,6 +122,7 @@
             }
             self.items[key] = event
         self.events.append(event)
+        self._written_at.append(time.monotonic())
         async with self._changed:
             self._changed.notify_all()
         return self.revision
@@ -141,6 +160,9 @@
             return 200, {"items": items, "more_pages": False, "as_of": self.revision}
         if parts.path == "/-/kv-watch":
             after = int(query.get("after", "0"))
+            self._forget()
+            if after < self._forgotten:
+                return 410, {"as_of": self.revision}
             until = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
 
             def events() -> list[dict]:
@@ -160,6 +182,13 @@
         return 404, {"as_of": self.revision}
 
 
+    def _forget(self) -> None:
+        """Drop the history that is older than the settings' ``history_s``."""
+        while self.events and time.monotonic() - self._written_at[0] > HISTORY_S:
+            self._forgotten = self.events.pop(0)["revision"]
+            self._written_at.pop(0)
+
+
 class Server:
     """A server of one service. ``respond`` writes the answer to one request."""
 
@@ -291,7 +320,7 @@
             "platform.address": store,
             "platform.form": "read",
             "platform.reads_per_s": "2000",
-            "platform.history_s": "20",
+            "platform.history_s": str(HISTORY_S),
             "platform.value_bytes": "1048576",
         }
         text = "".join(f"{name}={value}\n" for name, value in lines.items())
@@ -330,6 +359,7 @@
         until = time.monotonic() + seconds
         while not await self.is_ready():
             if time.monotonic() > until:
+                self._record.add(f"{self.name} logs: {self.log()[-2000:]}")
                 raise CannotRun(f"{self.name} isn't ready in {seconds} s")
             await asyncio.sleep(0.1)
 
