--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/play.py"
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -21,7 +21,7 @@
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(os.environ.get("RIG_ROOT") or Path(__file__).resolve().parent.parent)
 HOST = "127.0.0.1"
 HISTORY_S = 20
 STARTED = time.monotonic()
@@ -182,6 +182,12 @@
         return 404, {"as_of": self.revision}
 
 
+    def forget_history(self) -> None:
+        """Discard all of the history, sooner than ``history_s``."""
+        self.events.clear()
+        self._written_at.clear()
+        self._forgotten = self.revision
+
     def _forget(self) -> None:
         """Drop the history that is older than the settings' ``history_s``."""
         while self.events and time.monotonic() - self._written_at[0] > HISTORY_S:
@@ -206,6 +212,12 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def stop(self) -> None:
+        """End the process of the server: its connections and its listener close."""
+        self._server.close()
+        for writer in list(self.connections):
+            writer.close()
+
     def entry(self, state: str = "ready", slots: int = 64) -> dict:
         return {
             "service": self.service,
@@ -260,6 +272,51 @@
         return attempt
 
 
+class Link:
+    """A way to ``target`` that can be cut: nothing passes then, and nothing is closed."""
+
+    def __init__(self, target: str) -> None:
+        self._host, _, port = target.rpartition(":")
+        self._target_port = int(port)
+        self._open = asyncio.Event()
+        self._open.set()
+        self.port = 0
+
+    @property
+    def address(self) -> str:
+        return f"{HOST}:{self.port}"
+
+    async def start(self) -> None:
+        self.port = free_port()
+        await asyncio.start_server(self._serve, HOST, self.port)
+
+    def cut(self) -> None:
+        self._open.clear()
+
+    def heal(self) -> None:
+        self._open.set()
+
+    async def _serve(self, reader, writer) -> None:
+        other = None
+        try:
+            await self._open.wait()
+            back, other = await asyncio.open_connection(self._host, self._target_port)
+            await asyncio.gather(self._pass(reader, other), self._pass(back, writer))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+            if other is not None:
+                other.close()
+
+    async def _pass(self, reader, writer) -> None:
+        while data := await reader.read(65_536):
+            await self._open.wait()
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+
 def deploy_command() -> tuple[list[str], dict[str, str]]:
     """Return the words of ``run`` of the deploy file, and its ``env``."""
     deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
