--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -181,7 +181,6 @@
             return 200, {"events": events(), "as_of": self.revision}
         return 404, {"as_of": self.revision}
 
-
     def forget_history(self) -> None:
         """Discard all of the history, sooner than ``history_s``."""
         self.events.clear()
@@ -243,7 +242,8 @@
                 if target == "/health":
                     writer.write(
                         b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Engine-Id: "
-                        + self.id.encode() + b"\r\n\r\n"
+                        + self.id.encode()
+                        + b"\r\n\r\n"
                     )
                     await writer.drain()
                     continue
