--- a/review/15/play.py
+++ b/review/15/play.py
@@ -1,7 +1,6 @@
-"""A machine is cut off from the store and the other machines while servers leave.
+"""All processes are killed some seconds after a release and an increase of servers.
 
-It goes on with requests that need no key. Then it is killed, and clients take up the
-streams that break off at the other machines.
+Streams had begun since then; clients take them up while servers of both versions serve.
 """
 
 import asyncio
@@ -14,7 +13,6 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from rig_3 import HOST  # noqa: E402
-from rig_3 import Link  # noqa: E402
 from rig_3 import Router  # noqa: E402
 from rig_3 import Server  # noqa: E402
 from rig_3 import Store  # noqa: E402
@@ -22,17 +20,18 @@
 from rig_3 import run_case  # noqa: E402
 
 DEADLINE_MS = 12_000
-EVENTS = 50
+EVENTS = 190
 GAP_S = 0.05
-STREAMS = 24
-PROMPTS = 12
+STREAMS = 60
+LEAST_TAKEN_UP = 12
 CALM_S = 23
-LEAVE_S = 0.5
-CUT_S = 10.7
-BEGUN_S = 0.8
-RETRY_S = 0.5
-MAX_TAKE_UPS = 3
-
+RELEASE_GAP_S = 0.4
+DRAIN_S = 2.5
+SETTLED_S = 4
+BEGUN_S = 1.0
+DOWN_S = 0.3
+CONTACT_S = 3.0
+RETRY_S = (1.0, 2.0, 2.0)
 
 
 def config() -> dict:
@@ -51,7 +50,7 @@
                 "priority": 0,
                 "service": "yucca",
                 "max_attempts": 2,
-                "public": True,
+                "public": False,
                 "sticky_sessions": True,
                 "resumable": True,
                 "gap_aim_ms": 400,
@@ -147,91 +146,142 @@
         writer.close()
 
 
-async def stream(number: int, record, begins_at: Router, others: list[Router]) -> bool:
-    """Read one stream to its end; return whether it was joined from two versions."""
+class Outcome:
+    """What became of one stream, at machines in touch and at all machines."""
+
+    def __init__(self) -> None:
+        self.was_taken_up = False
+        self.was_taken_up_in_touch = False
+        self.went_on = False
+        self.went_on_in_touch = False
+        self.version = ""
+
+
+def is_in_touch(router: Router, started_at: dict[str, float]) -> bool:
+    """Return whether a machine has run for ``contact_ms``."""
+    return time.monotonic() - started_at[router.name] >= CONTACT_S
+
+
+async def stream(number: int, record, routers, started_at) -> Outcome:
+    """Begin a stream, and take it up three times at most when it breaks off."""
     began = time.monotonic()
+    outcome = Outcome()
     events: list[tuple[int, str]] = []
     name = f"{number:08x}0000000"
-    prompt = f"{number % PROMPTS + 1:08x}"
-    record.add(f"client sends {name}0 to {begins_at.name}, prompt {prompt}")
-    result = await attempt(
-        begins_at, f"{name}0", f"{name}0", prompt, DEADLINE_MS, events
-    )
+    prompt = f"{number + 1:08x}"
+    router = routers[number % len(routers)]
+    record.add(f"client sends {name}0 to {router.name}, prompt {prompt}")
+    result = await attempt(router, f"{name}0", f"{name}0", prompt, DEADLINE_MS, events)
     record.add(f"client got {name}0: {result}, {len(events)} events")
-    for again in range(1, MAX_TAKE_UPS + 1):
+    outcome.version = events[0][1] if events else "none"
+    for again, pause_s in enumerate(RETRY_S, 1):
+        _, _, wait = result.partition("Retry-After ")
+        if result == "end" or not events:
+            break
+        await asyncio.sleep(float(wait) if wait[:1].isdigit() else pause_s)
         left_ms = round(DEADLINE_MS - (time.monotonic() - began) * 1_000)
-        if result == "end" or not events or left_ms <= 0:
+        if left_ms <= 0:
             break
-        router, known = others[(number + again) % len(others)], len(events)
+        router, known = routers[(number + again) % len(routers)], len(events)
+        in_touch = is_in_touch(router, started_at)
         record.add(
-            f"client sends {name}{again} to {router.name}, prompt {prompt}, "
-            f"after event {events[-1][0]} of {name}0"
+            f"client sends {name}{again} to {router.name}, in touch: {in_touch}, "
+            f"after event {events[-1][0]} of {name}0 ({outcome.version})"
         )
         result = await attempt(
             router, f"{name}{again}", f"{name}0", prompt, left_ms, events
         )
         record.add(f"client got {name}{again}: {result}, {len(events) - known} events")
-        if result != "end":
-            _, _, wait = result.partition("Retry-After ")
-            await asyncio.sleep(float(wait) if wait[:1].isdigit() else RETRY_S)
-    versions = [version for _, version in events]
-    is_joined = len(set(versions)) > 1
-    if is_joined:
-        changes = [i for i in range(1, len(events)) if versions[i] != versions[i - 1]]
-        record.add(
-            f"stream {name}0 has {changes[0]} events of {versions[0]}, then those of "
-            f"{versions[changes[0]]}"
-        )
-    return is_joined
+        outcome.was_taken_up = True
+        outcome.went_on |= len(events) > known
+        outcome.was_taken_up_in_touch |= in_touch
+        outcome.went_on_in_touch |= in_touch and len(events) > known
+    return outcome
+
+
+async def begin(number: int, record, routers) -> bool:
+    """Return whether a new stream begins at a machine in touch."""
+    events: list[tuple[int, str]] = []
+    name = f"{number:08x}0000000"
+    result = await attempt(
+        routers[number % len(routers)],
+        f"{name}0",
+        f"{name}0",
+        f"{number + 1:08x}",
+        DEADLINE_MS,
+        events,
+    )
+    record.add(f"client got {name}0, a new stream: {result}, {len(events)} events")
+    return bool(events)
 
 
 async def play(record, trouble: bool, routers: list[Router]) -> bool:
     store = Store()
     await store.start()
     await store.put("op/config", config())
-    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(6)]
+    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(11)]
+    old, new = servers[:6], servers[6:]
     for server in servers:
-        server.version = "v1" if server in servers[:3] else "v2"
+        server.version = "v1" if server in old else "v2"
         await server.start()
+    for server in old:
         await store.put(f"servers/{server.id}", server.entry())
-    routers += [Router(f"front-{n}", record) for n in range(1, 9)]
+    routers += [Router(f"front-{n}", record) for n in range(1, 5)]
     seeds = [router.control_address for router in routers[:3]]
-    cut, others = routers[-1], routers[:-1]
-    links = [Link(address) for address in (store.address, *seeds)]
-    for link in links:
-        await link.start()
-    for router in others:
+    started_at = {}
+    for router in routers:
         router.write_settings(store.address, seeds)
         await router.start()
-    cut.write_settings(links[0].address, [link.address for link in links[1:]])
-    await cut.start()
+        started_at[router.name] = time.monotonic()
     for router in routers:
         await router.wait_ready()
     await asyncio.sleep(CALM_S)
-    if trouble:
-        record.add(f"{cut.name} is cut off from the store and the other machines")
-        for link in links:
-            link.cut()
-    await asyncio.sleep(LEAVE_S)
-    for server in servers[:2]:
+    record.add("release: three of six servers of v1 are replaced; two more are added")
+    for server in new:
+        server.born = round(time.time() * 1_000)
+        await store.put(f"servers/{server.id}", server.entry())
+        await asyncio.sleep(RELEASE_GAP_S)
+    for server in old[:3]:
         await store.put(f"servers/{server.id}", server.entry("draining"))
-        record.add(f"the store acknowledged that server {server.id} drains")
-    await asyncio.sleep(3)
-    for server in servers[:2]:
+        await asyncio.sleep(RELEASE_GAP_S)
+    await asyncio.sleep(DRAIN_S)
+    for server in old[:3]:
         await store.put(f"servers/{server.id}", None)
         await server.stop()
-        record.add(f"server {server.id} is gone")
-    await asyncio.sleep(CUT_S - LEAVE_S - 3)
+    await asyncio.sleep(SETTLED_S)
     tasks = [
-        asyncio.create_task(stream(number, record, cut, others))
+        asyncio.create_task(stream(number, record, routers, started_at))
         for number in range(STREAMS)
     ]
     await asyncio.sleep(BEGUN_S)
     if trouble:
-        cut.signal(signal.SIGKILL)
-    joined = sum(await asyncio.gather(*tasks))
-    record.add(f"{joined} of {STREAMS} streams were joined from two versions")
-    return joined > 0
+        for router in routers:
+            router.signal(signal.SIGKILL)
+        for router in routers:
+            await router.process.wait()
+        await asyncio.sleep(DOWN_S)
+        for router in routers:
+            await router.start()
+            started_at[router.name] = time.monotonic()
+    await asyncio.sleep(CONTACT_S + 0.5)
+    begun = await asyncio.gather(
+        *(begin(1_000 + number, record, routers) for number in range(STREAMS))
+    )
+    outcomes = await asyncio.gather(*tasks)
+    taken_up = [each for each in outcomes if each.was_taken_up]
+    in_touch = [each for each in outcomes if each.was_taken_up_in_touch]
+    share = sum(each.went_on for each in taken_up) / max(1, len(taken_up))
+    share_in_touch = sum(each.went_on_in_touch for each in in_touch) / max(
+        1, len(in_touch)
+    )
+    new_share = sum(begun) / STREAMS
+    record.add(
+        f"{share:.2f} of {len(taken_up)} streams that were taken up went on, at machines "
+        f"in touch {share_in_touch:.2f} of {len(in_touch)}; {new_share:.2f} of {STREAMS} "
+        "new ones began there"
+    )
+    is_counted = len(in_touch) >= LEAST_TAKEN_UP
+    return is_counted and max(share, share_in_touch) < new_share / 2
 
 
 run_case(str(FOLDER), play)
