--- a/review/13/play.py
+++ b/review/13/play.py
@@ -189,7 +189,7 @@
     store = Store()
     await store.start()
     await store.put("op/config", config())
-    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(6)]
+    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(8)]
     for server in servers:
         server.version = "v1" if server in servers[:2] else "v2"
         await server.start()
