--- a/review/14/play.py
+++ b/review/14/play.py
@@ -189,9 +189,9 @@
     store = Store()
     await store.start()
     await store.put("op/config", config())
-    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(6)]
+    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(8)]
     for server in servers:
-        server.version = "v1" if server in servers[:3] else "v2"
+        server.version = "v1" if server in servers[:4] else "v2"
         await server.start()
         await store.put(f"servers/{server.id}", server.entry())
     routers += [Router(f"front-{n}", record) for n in range(1, 9)]
