--- a/review/15/play.py
+++ b/review/15/play.py
@@ -219,8 +219,8 @@
     store = Store()
     await store.start()
     await store.put("op/config", config())
-    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(11)]
-    old, new = servers[:6], servers[6:]
+    servers = [Server(f"i-{n:02d}", "yucca", record, respond) for n in range(14)]
+    old, new = servers[:8], servers[8:]
     for server in servers:
         server.version = "v1" if server in old else "v2"
         await server.start()
@@ -236,16 +236,16 @@
     for router in routers:
         await router.wait_ready()
     await asyncio.sleep(CALM_S)
-    record.add("release: three of six servers of v1 are replaced; two more are added")
+    record.add("release: four of eight servers of v1 are replaced; two more are added")
     for server in new:
         server.born = round(time.time() * 1_000)
         await store.put(f"servers/{server.id}", server.entry())
         await asyncio.sleep(RELEASE_GAP_S)
-    for server in old[:3]:
+    for server in old[:4]:
         await store.put(f"servers/{server.id}", server.entry("draining"))
         await asyncio.sleep(RELEASE_GAP_S)
     await asyncio.sleep(DRAIN_S)
-    for server in old[:3]:
+    for server in old[:4]:
         await store.put(f"servers/{server.id}", None)
         await server.stop()
     await asyncio.sleep(SETTLED_S)
